--- /dev/null
+++ b/bench/Main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/schema/control.capnp
@@ -0,0 +1,37 @@
+@0xc4d1a0be5521fa02;
+# What balancers, agents and operators ask of a control instance.
+using Cxx = import "/capnp/c++.capnp";
+using Common = import "common.capnp";
+$Cxx.namespace("yuccahook::schema");
+
+struct Announcement {
+  agent @0 :Text;
+  incarnation @1 :UInt64;
+  service @2 :Text;
+  trunk @3 :Common.Endpoint;
+  domain @4 :Text;
+  weight @5 :UInt32;
+  slots @6 :UInt32;
+  connections @7 :UInt32;
+  draining @8 :Bool;
+}
+
+struct View {
+  # A snapshot (full) or the changes since a revision.
+  revision @0 :UInt64;
+  full @1 :Bool;
+  services @2 :List(Common.ServiceSpec);
+  removedServices @3 :List(UInt32);
+  members @4 :List(Common.Member);
+  removedMembers @5 :List(UInt32);
+  cluster @6 :UInt64;      # identifies the journal; a view of another cluster is refused
+}
+
+interface Control {
+  announce @0 (announcement :Announcement) -> (status :UInt8, member :UInt32, leaseMillis :UInt32);
+  # Joins, renews the lease or reports a drain. status is control::AnnounceStatus.
+
+  changes @1 (subscriber :Text, after :UInt64, services :List(Text), allServices :Bool) -> (status :UInt8, view :View);
+  # Held until the state is newer than `after`; `after` is also what is in force at the subscriber.
+  # status is control::ChangesStatus.
+}
--- /dev/null
+++ b/schema/journal.capnp
@@ -0,0 +1,18 @@
+@0x9c1e4fa36db80e57;
+# What the journal of the control instances holds.
+using Cxx = import "/capnp/c++.capnp";
+using Common = import "common.capnp";
+$Cxx.namespace("yuccahook::schema");
+
+struct UpdateMembers {
+  joined @0 :List(Common.Member);
+  draining @1 :List(UInt32);
+  removed @2 :List(UInt32);
+}
+
+struct Command {
+  union {
+    note @0 :Text;          # the release note's JSON
+    members @1 :UpdateMembers;
+  }
+}
--- /dev/null
+++ b/schema/trunk.capnp
@@ -0,0 +1,65 @@
+@0xd0a97c34be118f03;
+# Traffic between balancers and agents: datagrams over UDP, streams over RPC.
+using Cxx = import "/capnp/c++.capnp";
+using Common = import "common.capnp";
+$Cxx.namespace("yuccahook::schema");
+
+struct TrunkDatagram {
+  # One UDP datagram of the trunk: a single-segment message without framing.
+  kind @0 :UInt8;          # net::DatagramKind
+  hint @1 :UInt8;          # flow::PacketHint
+  hops @2 :UInt8;          # forwards between agents so far
+  reason @3 :UInt8;        # flow::RefusalReason of a refusal
+  service @4 :UInt32;
+  member @5 :UInt32;       # whom a forward is for; who holds the flow in a reply
+  revision @6 :UInt64;     # the membership revision that the sender decided on
+  callerHigh @7 :UInt64;
+  callerLow @8 :UInt64;
+  callerPort @9 :UInt16;
+  returnPort @10 :UInt16;  # where the balancer takes replies; 0: the datagram's source
+  returnHigh @11 :UInt64;
+  returnLow @12 :UInt64;
+  payload @13 :Data;
+}
+
+interface StreamEnd {
+  # One end of a stream, as the other end sees it. Offsets count bytes since the stream began.
+  segment @0 (offset :UInt64, bytes :Data, last :Bool) -> (received :UInt64);
+  # Answers once the bytes are passed on; `received` is what need not be sent again.
+  reset @1 (reason :UInt8) -> ();
+}
+
+struct OpenStream {
+  stream @0 :UInt64;       # chosen at random by the balancer
+  service @1 :UInt32;
+  member @2 :UInt32;       # whom the balancer believes to serve it
+  revision @3 :UInt64;
+  caller @4 :Common.Endpoint;
+  received @5 :UInt64;     # bytes the balancer has had; above 0 or resume: the stream exists
+  resume @6 :Bool;
+  end @7 :StreamEnd;
+  placed @8 :Bool;         # the addressee was named by the flow's owner: take it or refuse
+}
+
+interface StreamTrunk {
+  open @0 (stream :OpenStream) -> (status :UInt8, reason :UInt8, member :UInt32, received :UInt64, end :StreamEnd);
+  # status is net::OpenStatus. A redirect names the member to ask next.
+  ping @1 () -> (member :UInt32, revision :UInt64);
+}
+
+interface FlowPeer {
+  # What agents of one service ask of each other about flows.
+  load @0 (from :UInt32, flows :UInt32, connections :UInt32) -> (flows :UInt32, connections :UInt32);
+}
+
+interface RequestPeer {
+  # What agents of one service ask of each other about requests.
+  ping @0 () -> (member :UInt32);
+}
+
+interface AgentNode {
+  # The bootstrap interface of an agent's trunk.
+  streams @0 () -> (trunk :StreamTrunk);
+  flows @1 () -> (peer :FlowPeer);
+  requests @2 () -> (peer :RequestPeer);
+}
--- /dev/null
+++ b/src/control/Announcement.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "kernel/EnumNames.h"
+#include "net/Address.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace yuccahook::control {
+
+/// How a control instance answered an announcement.
+enum class AnnounceStatus : std::uint8_t {
+    Joined,
+    Pending, ///< Not yet committed; announce again.
+    UnknownService,
+    OldIncarnation,
+    NotLeader
+};
+
+/// How a control instance answered a subscriber.
+enum class ChangesStatus : std::uint8_t {
+    Newer,
+    Unchanged,
+    NotCurrent
+}; ///< This instance is cut off from the quorum; ask another.
+
+/// What an agent says of itself and the backend server beside it.
+struct Announcement {
+    std::string agent;
+    std::uint64_t incarnation = 0;
+    std::string service;
+    net::Address trunk;
+    std::string domain;
+    std::uint32_t weight = 100;
+    std::uint32_t slots = 1;
+    std::uint32_t connections = 1;
+    bool draining = false;
+};
+
+} // namespace yuccahook::control
+
+template <> struct yuccahook::kernel::EnumNames<yuccahook::control::AnnounceStatus> {
+    static constexpr std::array<std::string_view, 5> names { "joined", "pending", "unknown-service", "old-incarnation",
+        "not-leader" };
+};
+
+template <> struct yuccahook::kernel::EnumNames<yuccahook::control::ChangesStatus> {
+    static constexpr std::array<std::string_view, 3> names { "newer", "unchanged", "not-current" };
+};
--- /dev/null
+++ b/src/control/ClusterState.cpp
@@ -0,0 +1,201 @@
+#include "control/ClusterState.h"
+
+#include <algorithm>
+
+namespace yuccahook::control {
+
+namespace {
+
+constexpr std::size_t keptDeltas = 4096;
+
+bool sharesAddress(const flow::Membership& membership, const flow::ServiceSpec& spec)
+{
+    return std::any_of(membership.services.begin(), membership.services.end(), [&spec](const flow::ServiceSpec& other) {
+        const bool datagram = other.protocol == flow::Protocol::Datagram;
+        return !other.withdrawn && other.name != spec.name && other.address == spec.address
+            && datagram == (spec.protocol == flow::Protocol::Datagram);
+    });
+}
+
+// Adds the parts of a later delta to an earlier one.
+void append(flow::MembershipDelta& total, const flow::MembershipDelta& next)
+{
+    total.revision = next.revision;
+    total.services.insert(total.services.end(), next.services.begin(), next.services.end());
+    total.members.insert(total.members.end(), next.members.begin(), next.members.end());
+    total.removedServices.insert(total.removedServices.end(), next.removedServices.begin(), next.removedServices.end());
+    total.removedMembers.insert(total.removedMembers.end(), next.removedMembers.begin(), next.removedMembers.end());
+}
+
+} // namespace
+
+ClusterState::ClusterState(std::uint64_t cluster) { m_membership.cluster = cluster; }
+
+std::optional<NoteOutcome> ClusterState::apply(const Command& command)
+{
+    if (const auto* submit = std::get_if<SubmitNote>(&command))
+        return applyNote(*submit);
+    applyMembers(std::get<UpdateMembers>(command));
+    return std::nullopt;
+}
+
+NoteOutcome ClusterState::judge(const std::string& text) const
+{
+    NoteOutcome outcome;
+    const auto note = parseNote(text, outcome.faults);
+    if (!note) {
+        outcome.status = NoteStatus::Invalid;
+        return outcome;
+    }
+    flow::MembershipDelta delta;
+    return judge(*note, delta);
+}
+
+NoteOutcome ClusterState::applyNote(const SubmitNote& submit)
+{
+    NoteOutcome outcome;
+    const auto note = parseNote(submit.text, outcome.faults);
+    if (!note) {
+        outcome.status = NoteStatus::Invalid;
+        return outcome;
+    }
+    flow::MembershipDelta delta;
+    outcome = judge(*note, delta);
+    if (outcome.status != NoteStatus::Accepted || m_notes.contains(note->number))
+        return outcome;
+    for (auto& service : delta.services) {
+        if (service.id == 0)
+            service.id = ++m_lastId;
+    }
+    publish(std::move(delta));
+    outcome.revision = m_membership.revision;
+    m_notes.emplace(note->number, NoteRecord { note->content, note->author, outcome.revision });
+    return outcome;
+}
+
+NoteOutcome ClusterState::judge(const Note& note, flow::MembershipDelta& delta) const
+{
+    NoteOutcome outcome { NoteStatus::Accepted, note.number, m_membership.revision + 1, note.author, {} };
+    if (const auto taken = m_notes.find(note.number); taken != m_notes.end()) {
+        outcome.revision = taken->second.revision;
+        outcome.acceptedAuthor = taken->second.author;
+        if (taken->second.content != note.content)
+            outcome.status = NoteStatus::NumberTaken;
+        return outcome;
+    }
+    if (note.basedOn && *note.basedOn != m_membership.revision) {
+        outcome.status = NoteStatus::BaseRevisionMismatch;
+        outcome.revision = m_membership.revision;
+        return outcome;
+    }
+    const auto fault = [&outcome](settings::FaultKind kind, std::string path, std::string seen, std::string allowed) {
+        outcome.faults.push_back({ kind, std::move(path), std::move(seen), std::move(allowed) });
+    };
+    for (std::size_t index = 0; index < note.added.size(); ++index) {
+        const auto& spec = note.added[index];
+        const std::string path = "added[" + std::to_string(index) + "]";
+        if (m_membership.serviceNamed(spec.name))
+            fault(settings::FaultKind::Conflict, path + ".name", spec.name, "a name that no service has");
+        delta.services.push_back(spec);
+    }
+    for (std::size_t index = 0; index < note.changed.size(); ++index) {
+        const std::string path = "changed[" + std::to_string(index) + "]";
+        const std::string name = note.changed[index].value("name", "");
+        const auto* existing = m_membership.serviceNamed(name);
+        if (!existing) {
+            fault(settings::FaultKind::Conflict, path + ".name", name, "the name of a service");
+            continue;
+        }
+        flow::ServiceSpec spec = *existing;
+        readService(note.changed[index], path, false, spec, outcome.faults);
+        if (spec.protocol != existing->protocol || spec.buckets != existing->buckets)
+            fault(settings::FaultKind::Conflict, path, name, "protocol and buckets as they were");
+        delta.services.push_back(spec);
+    }
+    for (std::size_t index = 0; index < note.withdrawn.size(); ++index) {
+        const auto* existing = m_membership.serviceNamed(note.withdrawn[index]);
+        if (!existing) {
+            fault(settings::FaultKind::Conflict, "withdrawn[" + std::to_string(index) + "]", note.withdrawn[index],
+                "the name of a service");
+            continue;
+        }
+        delta.services.push_back(*existing);
+        delta.services.back().withdrawn = true;
+    }
+    flow::MembershipDelta whole = delta;
+    whole.cluster = m_membership.cluster;
+    whole.revision = m_membership.revision + 1;
+    std::uint32_t provisionalId = UINT32_MAX;
+    for (auto& service : whole.services) {
+        if (service.id == 0)
+            service.id = provisionalId--;
+    }
+    const auto after = flow::applied(m_membership, whole);
+    for (const auto& service : delta.services) {
+        if (!service.withdrawn && sharesAddress(*after, service))
+            fault(settings::FaultKind::Conflict, "", service.address.text() + " of " + service.name,
+                "an address that no other service has");
+    }
+    if (!outcome.faults.empty())
+        outcome.status = NoteStatus::Invalid;
+    return outcome;
+}
+
+void ClusterState::applyMembers(const UpdateMembers& update)
+{
+    flow::MembershipDelta delta;
+    for (flow::Member member : update.joined) {
+        bool known = false;
+        for (const auto& existing : m_membership.members) {
+            if (existing.agent != member.agent)
+                continue;
+            known = known || existing.incarnation >= member.incarnation;
+            if (existing.incarnation < member.incarnation)
+                delta.removedMembers.push_back(existing.id); // a restarted agent replaces its old self
+        }
+        if (known)
+            continue;
+        member.id = ++m_lastId;
+        delta.members.push_back(std::move(member));
+    }
+    for (const std::uint32_t id : update.draining) {
+        const auto* existing = m_membership.member(id);
+        if (!existing || existing->state == flow::MemberState::Draining)
+            continue;
+        delta.members.push_back(*existing);
+        delta.members.back().state = flow::MemberState::Draining;
+    }
+    for (const std::uint32_t id : update.removed) {
+        if (m_membership.member(id))
+            delta.removedMembers.push_back(id);
+    }
+    if (!delta.members.empty() || !delta.removedMembers.empty())
+        publish(std::move(delta));
+}
+
+void ClusterState::publish(flow::MembershipDelta delta)
+{
+    delta.cluster = m_membership.cluster;
+    delta.revision = m_membership.revision + 1;
+    m_membership = *flow::applied(m_membership, delta);
+    m_recent.push_back(std::move(delta));
+    if (m_recent.size() > keptDeltas)
+        m_recent.pop_front();
+}
+
+flow::MembershipDelta ClusterState::changesAfter(std::uint64_t revision) const
+{
+    const std::uint64_t behind = m_membership.revision - std::min(revision, m_membership.revision);
+    if (behind > m_recent.size() || revision == 0) {
+        return { m_membership.cluster, m_membership.revision, true, m_membership.services, {}, m_membership.members,
+            {} };
+    }
+    flow::MembershipDelta total;
+    total.cluster = m_membership.cluster;
+    total.revision = m_membership.revision;
+    for (std::size_t index = m_recent.size() - behind; index < m_recent.size(); ++index)
+        append(total, m_recent[index]);
+    return total;
+}
+
+} // namespace yuccahook::control
--- /dev/null
+++ b/src/control/Command.cpp
@@ -0,0 +1,85 @@
+#include "control/Command.h"
+
+#include "control/MembershipCodec.h"
+#include "journal.capnp.h"
+
+#include <capnp/serialize.h>
+#include <cstring>
+#include <kj/exception.h>
+
+namespace yuccahook::control {
+
+namespace {
+
+std::string flatten(capnp::MessageBuilder& message)
+{
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+void writeIds(capnp::List<std::uint32_t>::Builder list, const std::vector<std::uint32_t>& ids)
+{
+    for (std::size_t index = 0; index < ids.size(); ++index)
+        list.set(index, ids[index]);
+}
+
+std::vector<std::uint32_t> readIds(capnp::List<std::uint32_t>::Reader list)
+{
+    std::vector<std::uint32_t> ids;
+    for (const std::uint32_t id : list)
+        ids.push_back(id);
+    return ids;
+}
+
+void write(schema::Command::Builder builder, const SubmitNote& submit) { builder.setNote(submit.text); }
+
+void write(schema::Command::Builder builder, const UpdateMembers& update)
+{
+    auto members = builder.initMembers();
+    auto joined = members.initJoined(update.joined.size());
+    for (std::size_t index = 0; index < update.joined.size(); ++index)
+        writeMember(joined[index], update.joined[index]);
+    writeIds(members.initDraining(update.draining.size()), update.draining);
+    writeIds(members.initRemoved(update.removed.size()), update.removed);
+}
+
+UpdateMembers readUpdate(schema::UpdateMembers::Reader reader)
+{
+    UpdateMembers update;
+    for (const auto member : reader.getJoined())
+        update.joined.push_back(readMember(member));
+    update.draining = readIds(reader.getDraining());
+    update.removed = readIds(reader.getRemoved());
+    return update;
+}
+
+} // namespace
+
+std::string encode(const Command& command)
+{
+    capnp::MallocMessageBuilder message;
+    const auto builder = message.initRoot<schema::Command>();
+    std::visit([&builder](const auto& value) { write(builder, value); }, command);
+    return flatten(message);
+}
+
+std::optional<Command> decode(const std::string& bytes)
+{
+    if (bytes.size() % sizeof(capnp::word) != 0)
+        return std::nullopt;
+    std::optional<Command> command;
+    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.asBytes().begin(), bytes.data(), bytes.size());
+    const auto failure = kj::runCatchingExceptions([&] {
+        capnp::FlatArrayMessageReader message(words);
+        const auto reader = message.getRoot<schema::Command>();
+        if (reader.isNote())
+            command = SubmitNote { reader.getNote() };
+        else if (reader.isMembers())
+            command = readUpdate(reader.getMembers());
+    });
+    return failure == nullptr ? command : std::nullopt;
+}
+
+} // namespace yuccahook::control
--- /dev/null
+++ b/src/control/ControlClient.cpp
@@ -0,0 +1,178 @@
+#include "control/ControlClient.h"
+
+#include "control/MembershipCodec.h"
+#include "observe/Log.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace yuccahook::control {
+
+namespace {
+
+constexpr std::size_t queueBound = 1024;
+constexpr auto connectTimeout = 1 * kj::SECONDS;
+constexpr auto retryDelay = 200 * kj::MILLISECONDS;
+constexpr auto changesTimeout = 8 * kj::SECONDS; // above the time a control instance holds the call
+constexpr auto announceTimeout = 2 * kj::SECONDS;
+constexpr auto announceInterval = 2 * kj::SECONDS;
+constexpr auto announceRetry = 200 * kj::MILLISECONDS;
+
+std::int64_t millisNow()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace
+
+/// One RPC connection to a control instance.
+struct ControlClient::Connection {
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyClient rpc;
+    schema::Control::Client control;
+
+    explicit Connection(kj::Own<kj::AsyncIoStream> connected)
+        : stream(kj::mv(connected))
+        , rpc(*stream)
+        , control(rpc.bootstrap().castAs<schema::Control>())
+    {
+    }
+};
+
+ControlClient::ControlClient(std::string subscriber, std::vector<net::Address> addresses)
+    : m_subscriber(std::move(subscriber))
+    , m_addresses(std::move(addresses))
+    , m_thread("control-client", queueBound)
+    , m_membership(std::make_shared<flow::Membership>())
+    , m_lastContactMillis(millisNow())
+{
+}
+
+ControlClient::~ControlClient() noexcept { stop(); }
+
+bool ControlClient::start()
+{
+    return m_thread.start(
+        [this](net::Loop& loop) {
+            m_loop = &loop;
+            loop.spawn(follow());
+            loop.spawn(keepAnnounced());
+        },
+        [this] { m_connection = nullptr; });
+}
+
+void ControlClient::stop() { m_thread.stop(); }
+
+void ControlClient::onMembership(MembershipListener listener) { m_listeners.push_back(std::move(listener)); }
+
+void ControlClient::announce(const Announcement& announcement)
+{
+    m_thread.post([this, announcement](net::Loop& loop) {
+        m_announcement = announcement;
+        m_joined = false;
+        loop.spawn(announceOnce());
+    });
+}
+
+flow::MembershipPointer ControlClient::membership() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_membership;
+}
+
+std::uint64_t ControlClient::stalenessMillis() const
+{
+    return static_cast<std::uint64_t>(millisNow() - m_lastContactMillis.load());
+}
+
+void ControlClient::publish(flow::MembershipPointer membership)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_membership = membership;
+    }
+    for (const auto& listener : m_listeners)
+        listener(membership);
+}
+
+kj::Promise<void> ControlClient::follow()
+{
+    return connect(m_nextAddress++)
+        .then([this] { return followChanges(); })
+        .catch_([this](kj::Exception&& exception) {
+            m_connection = nullptr;
+            observe::log(
+                observe::Level::Debug, "control-contact-lost", { { "reason", exception.getDescription().cStr() } });
+        })
+        .then([this] { return m_loop->timer().afterDelay(retryDelay); })
+        .then([this] { return follow(); });
+}
+
+kj::Promise<void> ControlClient::connect(std::size_t attempt)
+{
+    const net::Address& address = m_addresses[attempt % m_addresses.size()];
+    sockaddr_storage socket {};
+    const socklen_t length = address.toSocket(socket);
+    auto target = m_loop->network().getSockaddr(&socket, length);
+    auto connecting = target->connect().attach(kj::mv(target));
+    return m_loop->timer().timeoutAfter(connectTimeout, kj::mv(connecting)).then([this](auto stream) {
+        m_connection = kj::heap<Connection>(kj::mv(stream));
+    });
+}
+
+kj::Promise<void> ControlClient::followChanges()
+{
+    auto request = m_connection->control.changesRequest();
+    request.setSubscriber(m_subscriber);
+    request.setAfter(membership()->revision);
+    request.setAllServices(true);
+    return m_loop->timer().timeoutAfter(changesTimeout, request.send()).then([this](auto response) {
+        const auto status = static_cast<ChangesStatus>(response.getStatus());
+        if (status == ChangesStatus::NotCurrent)
+            return kj::Promise<void>(KJ_EXCEPTION(DISCONNECTED, "control instance not current"));
+        m_lastContactMillis = millisNow();
+        if (status == ChangesStatus::Newer) {
+            if (auto newer = flow::applied(*membership(), readDelta(response.getView())))
+                publish(std::move(newer));
+            else
+                observe::log(observe::Level::Error, "membership-refused",
+                    { { "revision", response.getView().getRevision() }, { "have", membership()->revision } });
+        }
+        return followChanges();
+    });
+}
+
+kj::Promise<void> ControlClient::keepAnnounced()
+{
+    return announceOnce()
+        .then([this] { return m_loop->timer().afterDelay(m_joined ? announceInterval : announceRetry); })
+        .then([this] { return keepAnnounced(); });
+}
+
+kj::Promise<void> ControlClient::announceOnce()
+{
+    if (!m_announcement || !m_connection)
+        return kj::READY_NOW;
+    auto request = m_connection->control.announceRequest();
+    auto builder = request.initAnnouncement();
+    builder.setAgent(m_announcement->agent);
+    builder.setIncarnation(m_announcement->incarnation);
+    builder.setService(m_announcement->service);
+    net::writeEndpoint(builder.initTrunk(), m_announcement->trunk);
+    builder.setDomain(m_announcement->domain);
+    builder.setWeight(m_announcement->weight);
+    builder.setSlots(m_announcement->slots);
+    builder.setConnections(m_announcement->connections);
+    builder.setDraining(m_announcement->draining);
+    return m_loop->timer()
+        .timeoutAfter(announceTimeout, request.send())
+        .then([this](auto response) {
+            m_joined = static_cast<AnnounceStatus>(response.getStatus()) == AnnounceStatus::Joined;
+        })
+        .catch_([](kj::Exception&& exception) {
+            observe::log(observe::Level::Debug, "announce-failed", { { "reason", exception.getDescription().cStr() } });
+        });
+}
+
+} // namespace yuccahook::control
--- /dev/null
+++ b/src/control/ControlClient.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "control.capnp.h"
+#include "control/Announcement.h"
+#include "flow/Membership.h"
+#include "kernel/Service.h"
+#include "net/LoopThread.h"
+
+#include <atomic>
+#include <capnp/rpc-twoparty.h>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace yuccahook::control {
+
+/// Keeps a process in step with the control instances: follows the membership revisions and announces the agent.
+/// Its loop is the process's control thread.
+class ControlClient final : public kernel::Service {
+public:
+    using MembershipListener = std::function<void(flow::MembershipPointer)>;
+
+    static constexpr std::string_view serviceName = "control-client";
+
+    /// `subscriber` names the process; `addresses` are RPC addresses of control instances, preferred first.
+    ControlClient(std::string subscriber, std::vector<net::Address> addresses);
+    ~ControlClient() noexcept override;
+
+    std::string_view name() const override { return serviceName; }
+    bool start() override;
+    void stop() override;
+
+    /// Called on the control thread with each newer membership. Add before `start`.
+    void onMembership(MembershipListener listener);
+
+    /// What to announce from now on; from any thread.
+    void announce(const Announcement& announcement);
+
+    /// The newest membership; an empty one before the first contact. From any thread.
+    flow::MembershipPointer membership() const;
+
+    /// Milliseconds since a control instance in contact with a quorum answered; from any thread.
+    std::uint64_t stalenessMillis() const;
+
+private:
+    struct Connection;
+
+    void publish(flow::MembershipPointer membership);
+    kj::Promise<void> follow();
+    kj::Promise<void> connect(std::size_t attempt);
+    kj::Promise<void> followChanges();
+    kj::Promise<void> keepAnnounced();
+    kj::Promise<void> announceOnce();
+
+    const std::string m_subscriber;
+    const std::vector<net::Address> m_addresses;
+    std::vector<MembershipListener> m_listeners;
+    net::LoopThread m_thread;
+
+    mutable std::mutex m_mutex;
+    flow::MembershipPointer m_membership; // guarded by m_mutex
+    std::atomic<std::int64_t> m_lastContactMillis;
+
+    // Control thread only.
+    net::Loop* m_loop = nullptr;
+    kj::Own<Connection> m_connection;
+    std::size_t m_nextAddress = 0;
+    std::optional<Announcement> m_announcement;
+    bool m_joined = false;
+};
+
+} // namespace yuccahook::control
--- /dev/null
+++ b/src/control/ControlNode.cpp
@@ -0,0 +1,308 @@
+#include "control/ControlNode.h"
+
+#include "control.capnp.h"
+#include "control/Announcement.h"
+#include "control/LocalLog.h"
+#include "control/MembershipCodec.h"
+#include "observe/Log.h"
+
+#include <algorithm>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace yuccahook::control {
+
+namespace {
+
+constexpr std::size_t queueBound = 4096;
+constexpr auto leaseDuration = 10 * kj::SECONDS;
+constexpr std::uint32_t leaseMillis = 10'000;
+constexpr auto leaseCheckInterval = 500 * kj::MILLISECONDS;
+constexpr auto holdChanges = 5 * kj::SECONDS;
+constexpr auto operatorTimeout = std::chrono::seconds(10);
+
+nlohmann::json toJson(const settings::Faults& faults)
+{
+    auto list = nlohmann::json::array();
+    for (const auto& fault : faults) {
+        list.push_back({ { "path", fault.path }, { "fault", kernel::nameOf(fault.kind) }, { "seen", fault.seen },
+            { "allowed", fault.allowed } });
+    }
+    return list;
+}
+
+net::HttpReply toReply(const NoteOutcome& outcome)
+{
+    nlohmann::json body { { "status", kernel::nameOf(outcome.status) }, { "number", outcome.number },
+        { "revision", outcome.revision }, { "acceptedAuthor", outcome.acceptedAuthor },
+        { "faults", toJson(outcome.faults) } };
+    int status = 200;
+    if (outcome.status == NoteStatus::Invalid)
+        status = 422;
+    else if (outcome.status != NoteStatus::Accepted)
+        status = 409;
+    return { status, "application/json", body.dump() };
+}
+
+net::HttpReply errorReply(int status, std::string_view error)
+{
+    return { status, "application/json", nlohmann::json { { "error", error } }.dump() };
+}
+
+flow::Member memberOf(schema::Announcement::Reader announcement, std::uint32_t service)
+{
+    flow::Member member;
+    member.agent = announcement.getAgent();
+    member.incarnation = announcement.getIncarnation();
+    member.service = service;
+    member.trunk = net::readEndpoint(announcement.getTrunk());
+    member.domain = announcement.getDomain();
+    member.weight = std::max<std::uint32_t>(announcement.getWeight(), 1);
+    member.slots = announcement.getSlots();
+    member.connections = announcement.getConnections();
+    return member;
+}
+
+} // namespace
+
+/// Serves RPC on the control thread.
+class ControlNode::RpcServer final : public schema::Control::Server {
+public:
+    explicit RpcServer(ControlNode& node)
+        : m_node(node)
+    {
+    }
+
+    kj::Promise<void> announce(AnnounceContext context) override
+    {
+        const auto announcement = context.getParams().getAnnouncement();
+        auto results = context.getResults();
+        results.setLeaseMillis(leaseMillis);
+        results.setStatus(static_cast<std::uint8_t>(take(announcement, results)));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> changes(ChangesContext context) override
+    {
+        const auto params = context.getParams();
+        const std::uint64_t after = params.getAfter();
+        if (m_node.m_log->current())
+            m_node.m_inForce[params.getSubscriber()] = after;
+        if (m_node.m_state->membership().revision > after || !m_node.m_log->current()) {
+            answer(context, after);
+            return kj::READY_NOW;
+        }
+        return m_node.waitForNewer(after).then([this, context, after]() mutable { answer(context, after); });
+    }
+
+private:
+    AnnounceStatus take(schema::Announcement::Reader announcement, AnnounceResults::Builder results)
+    {
+        if (!m_node.m_log->leads())
+            return AnnounceStatus::NotLeader;
+        const auto& membership = m_node.m_state->membership();
+        const auto* service = membership.serviceNamed(announcement.getService().cStr());
+        if (!service)
+            return AnnounceStatus::UnknownService;
+        const std::string agent = announcement.getAgent();
+        const auto known = std::find_if(membership.members.begin(), membership.members.end(),
+            [&agent](const flow::Member& member) { return member.agent == agent; });
+        if (known == membership.members.end() || known->incarnation < announcement.getIncarnation()) {
+            m_node.m_pendingMembers.joined.push_back(memberOf(announcement, service->id));
+            m_node.proposeMembers();
+            return AnnounceStatus::Pending;
+        }
+        if (known->incarnation > announcement.getIncarnation())
+            return AnnounceStatus::OldIncarnation;
+        m_node.m_leases[known->id].renewed = m_node.m_loop->timer().now();
+        if (announcement.getDraining() && known->state == flow::MemberState::Ready) {
+            m_node.m_pendingMembers.draining.push_back(known->id);
+            m_node.proposeMembers();
+        }
+        results.setMember(known->id);
+        return AnnounceStatus::Joined;
+    }
+
+    void answer(ChangesContext& context, std::uint64_t after)
+    {
+        auto results = context.getResults();
+        auto status = ChangesStatus::Unchanged;
+        if (!m_node.m_log->current()) {
+            status = ChangesStatus::NotCurrent;
+        } else if (m_node.m_state->membership().revision > after) {
+            status = ChangesStatus::Newer;
+            writeDelta(results.initView(), m_node.m_state->changesAfter(after));
+        }
+        results.setStatus(static_cast<std::uint8_t>(status));
+    }
+
+    ControlNode& m_node;
+};
+
+ControlNode::ControlNode(
+    const settings::ControlSettings& settings, net::OperatorServer& operatorServer, observe::Counters& counters)
+    : m_settings(settings)
+    , m_counters(counters)
+    , m_thread("control", queueBound)
+{
+    operatorServer.addRoute("/notes", [this](const net::HttpRequest& request) {
+        return request.method == "POST" ? submitNote(request) : showNotes(request);
+    });
+    operatorServer.addRoute("/members", [this](const net::HttpRequest&) { return showMembers(); });
+}
+
+ControlNode::~ControlNode() noexcept { stop(); }
+
+bool ControlNode::start()
+{
+    return m_thread.start([this](net::Loop& loop) { setUp(loop); }, [this] { tearDown(); });
+}
+
+void ControlNode::stop() { m_thread.stop(); }
+
+void ControlNode::setUp(net::Loop& loop)
+{
+    m_loop = &loop;
+    std::random_device random;
+    const std::uint64_t cluster = static_cast<std::uint64_t>(random()) << 32 | random();
+    m_state = std::make_unique<ClusterState>(cluster);
+    m_log = std::make_unique<LocalLog>(*m_state);
+    m_server = kj::heap<capnp::TwoPartyServer>(kj::heap<RpcServer>(*this));
+    sockaddr_storage socket {};
+    const socklen_t length = m_settings.listen.toSocket(socket);
+    m_receiver = loop.network().getSockaddr(&socket, length)->listen();
+    loop.spawn(m_server->listen(*m_receiver));
+    loop.spawn(keepLeases());
+}
+
+void ControlNode::tearDown()
+{
+    m_waiting.clear();
+    m_server = nullptr;
+    m_receiver = nullptr;
+    m_log.reset();
+    m_state.reset();
+}
+
+kj::Promise<void> ControlNode::keepLeases()
+{
+    return m_loop->timer().afterDelay(leaseCheckInterval).then([this] {
+        endLeases();
+        return keepLeases();
+    });
+}
+
+void ControlNode::endLeases()
+{
+    if (!m_log->leads()) {
+        m_leases.clear();
+        return;
+    }
+    const auto now = m_loop->timer().now();
+    for (const auto& member : m_state->membership().members) {
+        const auto [lease, isNew] = m_leases.try_emplace(member.id, Lease { now });
+        if (!isNew && now - lease->second.renewed > leaseDuration)
+            m_pendingMembers.removed.push_back(member.id);
+    }
+    if (!m_pendingMembers.removed.empty())
+        proposeMembers();
+}
+
+// One proposal at a time; what comes meanwhile goes into the next.
+void ControlNode::proposeMembers()
+{
+    const bool nothing
+        = m_pendingMembers.joined.empty() && m_pendingMembers.draining.empty() && m_pendingMembers.removed.empty();
+    if (m_proposing || nothing)
+        return;
+    m_proposing = true;
+    m_log->propose(std::exchange(m_pendingMembers, {}), [this](ProposeStatus) {
+        m_proposing = false;
+        wakeSubscribers();
+        proposeMembers();
+    });
+}
+
+kj::Promise<void> ControlNode::waitForNewer(std::uint64_t revision)
+{
+    if (m_state->membership().revision > revision)
+        return kj::READY_NOW;
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    m_waiting.push_back(kj::mv(paf.fulfiller));
+    return paf.promise.exclusiveJoin(m_loop->timer().afterDelay(holdChanges));
+}
+
+void ControlNode::wakeSubscribers()
+{
+    for (auto& waiting : std::exchange(m_waiting, {}))
+        waiting->fulfill();
+}
+
+// Runs work on the control thread and waits for its answer on the operator's thread.
+net::HttpReply ControlNode::onControlThread(std::function<void(net::HttpReply&, std::function<void()>)> work)
+{
+    struct Call {
+        net::HttpReply reply;
+        std::promise<void> done;
+    };
+    auto call = std::make_shared<Call>();
+    auto finished = call->done.get_future();
+    const bool queued = m_thread.post(
+        [call, work = std::move(work)](net::Loop&) { work(call->reply, [call] { call->done.set_value(); }); });
+    if (!queued)
+        return errorReply(503, "overloaded");
+    if (finished.wait_for(operatorTimeout) != std::future_status::ready)
+        return errorReply(504, "timeout");
+    return call->reply;
+}
+
+net::HttpReply ControlNode::submitNote(const net::HttpRequest& request)
+{
+    return onControlThread([this, text = request.body](net::HttpReply& reply, std::function<void()> done) {
+        const auto judged = m_state->judge(text);
+        if (judged.status != NoteStatus::Accepted) {
+            reply = toReply(judged);
+            done();
+            return;
+        }
+        m_log->propose(SubmitNote { text }, [this, text, &reply, done](ProposeStatus status) {
+            if (status == ProposeStatus::Committed)
+                reply = toReply(m_state->judge(text)); // a resend of what was applied gets its answer
+            else
+                reply = errorReply(503, kernel::nameOf(status));
+            wakeSubscribers();
+            done();
+        });
+    });
+}
+
+net::HttpReply ControlNode::showNotes(const net::HttpRequest&)
+{
+    return onControlThread([this](net::HttpReply& reply, std::function<void()> done) {
+        auto list = nlohmann::json::array();
+        for (const auto& [number, note] : m_state->notes())
+            list.push_back({ { "number", number }, { "author", note.author }, { "revision", note.revision } });
+        nlohmann::json body { { "revision", m_state->membership().revision }, { "notes", list } };
+        body["inForce"] = m_inForce;
+        reply.body = body.dump();
+        done();
+    });
+}
+
+net::HttpReply ControlNode::showMembers()
+{
+    return onControlThread([this](net::HttpReply& reply, std::function<void()> done) {
+        auto list = nlohmann::json::array();
+        for (const auto& member : m_state->membership().members) {
+            const auto* service = m_state->membership().service(member.service);
+            list.push_back({ { "id", member.id }, { "agent", member.agent },
+                { "service", service ? service->name : "" }, { "trunk", member.trunk.text() },
+                { "domain", member.domain }, { "state", kernel::nameOf(member.state) } });
+        }
+        reply.body = nlohmann::json { { "members", list } }.dump();
+        done();
+    });
+}
+
+} // namespace yuccahook::control
--- /dev/null
+++ b/src/control/ControlNode.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "control/ClusterState.h"
+#include "control/CommandLog.h"
+#include "kernel/Service.h"
+#include "net/HttpMessage.h"
+#include "net/LoopThread.h"
+#include "net/OperatorServer.h"
+#include "observe/Counters.h"
+#include "settings/Settings.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace yuccahook::control {
+
+/// A control instance: serves balancers, agents and operators from the replicated state.
+class ControlNode final : public kernel::Service {
+public:
+    static constexpr std::string_view serviceName = "control";
+
+    /// Adds its routes to `operatorServer`.
+    ControlNode(
+        const settings::ControlSettings& settings, net::OperatorServer& operatorServer, observe::Counters& counters);
+    ~ControlNode() noexcept override;
+
+    std::string_view name() const override { return serviceName; }
+    bool start() override;
+    void stop() override;
+
+private:
+    class RpcServer;
+    friend class RpcServer;
+
+    /// The lease of an announced agent.
+    struct Lease {
+        kj::TimePoint renewed = kj::origin<kj::TimePoint>();
+    };
+
+    void setUp(net::Loop& loop);
+    void tearDown();
+    kj::Promise<void> keepLeases();
+    void endLeases();
+    void proposeMembers();
+    kj::Promise<void> waitForNewer(std::uint64_t revision);
+    void wakeSubscribers();
+    net::HttpReply onControlThread(std::function<void(net::HttpReply&, std::function<void()>)> work);
+    net::HttpReply submitNote(const net::HttpRequest& request);
+    net::HttpReply showNotes(const net::HttpRequest& request);
+    net::HttpReply showMembers();
+
+    const settings::ControlSettings m_settings;
+    observe::Counters& m_counters;
+    net::LoopThread m_thread;
+
+    // Control thread only.
+    net::Loop* m_loop = nullptr;
+    std::unique_ptr<ClusterState> m_state;
+    std::unique_ptr<CommandLog> m_log;
+    kj::Own<capnp::TwoPartyServer> m_server;
+    kj::Own<kj::ConnectionReceiver> m_receiver;
+    std::map<std::uint32_t, Lease> m_leases; // by member id
+    std::map<std::string, std::uint64_t> m_inForce; // revision by subscriber
+    UpdateMembers m_pendingMembers;
+    bool m_proposing = false;
+    std::vector<kj::Own<kj::PromiseFulfiller<void>>> m_waiting;
+};
+
+} // namespace yuccahook::control
--- /dev/null
+++ b/src/control/MembershipCodec.cpp
@@ -0,0 +1,99 @@
+#include "control/MembershipCodec.h"
+
+namespace yuccahook::control {
+
+void writeService(schema::ServiceSpec::Builder builder, const flow::ServiceSpec& service)
+{
+    builder.setId(service.id);
+    builder.setName(service.name);
+    builder.setProtocol(static_cast<std::uint8_t>(service.protocol));
+    net::writeEndpoint(builder.initAddress(), service.address);
+    builder.setBuckets(service.buckets);
+    builder.setIdleSeconds(service.idleSeconds);
+    builder.setWithdrawSeconds(service.withdrawSeconds);
+    builder.setWithdrawn(service.withdrawn);
+    builder.setRequests(service.requests);
+}
+
+flow::ServiceSpec readServiceSpec(schema::ServiceSpec::Reader reader)
+{
+    flow::ServiceSpec service;
+    service.id = reader.getId();
+    service.name = reader.getName();
+    service.protocol = static_cast<flow::Protocol>(reader.getProtocol());
+    service.address = net::readEndpoint(reader.getAddress());
+    service.buckets = reader.getBuckets();
+    service.idleSeconds = reader.getIdleSeconds();
+    service.withdrawSeconds = reader.getWithdrawSeconds();
+    service.withdrawn = reader.getWithdrawn();
+    service.requests = reader.getRequests();
+    return service;
+}
+
+void writeMember(schema::Member::Builder builder, const flow::Member& member)
+{
+    builder.setId(member.id);
+    builder.setAgent(member.agent);
+    builder.setIncarnation(member.incarnation);
+    builder.setService(member.service);
+    net::writeEndpoint(builder.initTrunk(), member.trunk);
+    builder.setDomain(member.domain);
+    builder.setWeight(member.weight);
+    builder.setSlots(member.slots);
+    builder.setConnections(member.connections);
+    builder.setState(static_cast<std::uint8_t>(member.state));
+}
+
+flow::Member readMember(schema::Member::Reader reader)
+{
+    flow::Member member;
+    member.id = reader.getId();
+    member.agent = reader.getAgent();
+    member.incarnation = reader.getIncarnation();
+    member.service = reader.getService();
+    member.trunk = net::readEndpoint(reader.getTrunk());
+    member.domain = reader.getDomain();
+    member.weight = reader.getWeight();
+    member.slots = reader.getSlots();
+    member.connections = reader.getConnections();
+    member.state = static_cast<flow::MemberState>(reader.getState());
+    return member;
+}
+
+void writeDelta(schema::View::Builder builder, const flow::MembershipDelta& delta)
+{
+    builder.setCluster(delta.cluster);
+    builder.setRevision(delta.revision);
+    builder.setFull(delta.full);
+    auto services = builder.initServices(delta.services.size());
+    for (std::size_t index = 0; index < delta.services.size(); ++index)
+        writeService(services[index], delta.services[index]);
+    auto members = builder.initMembers(delta.members.size());
+    for (std::size_t index = 0; index < delta.members.size(); ++index)
+        writeMember(members[index], delta.members[index]);
+    auto removedServices = builder.initRemovedServices(delta.removedServices.size());
+    for (std::size_t index = 0; index < delta.removedServices.size(); ++index)
+        removedServices.set(index, delta.removedServices[index]);
+    auto removedMembers = builder.initRemovedMembers(delta.removedMembers.size());
+    for (std::size_t index = 0; index < delta.removedMembers.size(); ++index)
+        removedMembers.set(index, delta.removedMembers[index]);
+}
+
+flow::MembershipDelta readDelta(schema::View::Reader reader)
+{
+    flow::MembershipDelta delta;
+    delta.cluster = reader.getCluster();
+    delta.revision = reader.getRevision();
+    delta.full = reader.getFull();
+    for (const auto service : reader.getServices())
+        delta.services.push_back(readServiceSpec(service));
+    for (const auto member : reader.getMembers())
+        delta.members.push_back(readMember(member));
+    for (const std::uint32_t service : reader.getRemovedServices())
+        delta.removedServices.push_back(service);
+    for (const std::uint32_t member : reader.getRemovedMembers())
+        delta.removedMembers.push_back(member);
+    return delta;
+}
+
+} // namespace yuccahook::control
--- /dev/null
+++ b/src/control/MembershipCodec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "common.capnp.h"
+#include "control.capnp.h"
+#include "flow/Membership.h"
+
+namespace yuccahook::control {
+
+void writeService(schema::ServiceSpec::Builder builder, const flow::ServiceSpec& service);
+flow::ServiceSpec readServiceSpec(schema::ServiceSpec::Reader reader);
+
+void writeMember(schema::Member::Builder builder, const flow::Member& member);
+flow::Member readMember(schema::Member::Reader reader);
+
+void writeDelta(schema::View::Builder builder, const flow::MembershipDelta& delta);
+flow::MembershipDelta readDelta(schema::View::Reader reader);
+
+} // namespace yuccahook::control
--- /dev/null
+++ b/src/flow/Membership.cpp
@@ -0,0 +1,62 @@
+#include "flow/Membership.h"
+
+#include <algorithm>
+
+namespace yuccahook::flow {
+
+namespace {
+
+template <typename Value> const Value* findById(const std::vector<Value>& values, std::uint32_t id)
+{
+    const auto found = std::lower_bound(
+        values.begin(), values.end(), id, [](const Value& value, std::uint32_t wanted) { return value.id < wanted; });
+    return found != values.end() && found->id == id ? &*found : nullptr;
+}
+
+// Replaces or adds the changed values, then drops the removed ones.
+template <typename Value>
+void merge(std::vector<Value>& values, const std::vector<Value>& changed, const std::vector<std::uint32_t>& removed)
+{
+    for (const auto& value : changed) {
+        if (const Value* existing = findById(values, value.id)) {
+            values[existing - values.data()] = value;
+            continue;
+        }
+        const auto after = std::upper_bound(
+            values.begin(), values.end(), value.id, [](std::uint32_t id, const Value& other) { return id < other.id; });
+        values.insert(after, value);
+    }
+    std::erase_if(values, [&removed](const Value& value) {
+        return std::find(removed.begin(), removed.end(), value.id) != removed.end();
+    });
+}
+
+} // namespace
+
+const ServiceSpec* Membership::service(std::uint32_t id) const { return findById(services, id); }
+
+const ServiceSpec* Membership::serviceNamed(std::string_view name) const
+{
+    const auto found = std::find_if(services.begin(), services.end(),
+        [name](const ServiceSpec& service) { return service.name == name && !service.withdrawn; });
+    return found != services.end() ? &*found : nullptr;
+}
+
+const Member* Membership::member(std::uint32_t id) const { return findById(members, id); }
+
+MembershipPointer applied(const Membership& before, const MembershipDelta& delta)
+{
+    const bool sameCluster = before.cluster == delta.cluster || before.revision == 0;
+    if (!sameCluster || delta.revision <= before.revision)
+        return nullptr;
+    auto after = std::make_shared<Membership>();
+    if (!delta.full)
+        *after = before;
+    after->cluster = delta.cluster;
+    after->revision = delta.revision;
+    merge(after->services, delta.services, delta.removedServices);
+    merge(after->members, delta.members, delta.removedMembers);
+    return after;
+}
+
+} // namespace yuccahook::flow
--- /dev/null
+++ b/src/flow/RefusalReason.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "kernel/EnumNames.h"
+
+#include <array>
+#include <cstdint>
+
+namespace yuccahook::flow {
+
+/// Why a packet or a stream was not taken.
+enum class RefusalReason : std::uint8_t {
+    None,
+    UnknownService,
+    WrongService,
+    NoMember,
+    Draining,
+    TableFull,
+    UnknownFlow,
+    UnknownMember,
+    TooManyHops,
+    BackendUnreachable,
+    TrunkLost,
+    Withdrawn
+};
+
+} // namespace yuccahook::flow
+
+template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::RefusalReason> {
+    static constexpr std::array<std::string_view, 12> names { "none", "unknown-service", "wrong-service", "no-member",
+        "draining", "table-full", "unknown-flow", "unknown-member", "too-many-hops", "backend-unreachable",
+        "trunk-lost", "withdrawn" };
+};
--- /dev/null
+++ b/src/net/Address.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <netinet/in.h>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace yuccahook::net {
+
+/// An IP address and port. IPv4 is kept as IPv4-mapped IPv6, so one form serves both.
+struct Address {
+    std::uint64_t high = 0; ///< First eight bytes of the IPv6 form, as a big-endian number.
+    std::uint64_t low = 0;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Address&) const = default;
+
+    bool isSet() const { return port != 0; }
+    bool isIpv4() const;
+
+    /// "10.0.0.1:80" or "[::1]:80".
+    std::string text() const;
+
+    /// The address without its port.
+    std::string host() const;
+
+    /// Reads the form that `text` writes; no host names.
+    static std::optional<Address> parse(std::string_view text);
+
+    /// Reads an address without a port.
+    static std::optional<Address> parseHost(std::string_view host, std::uint16_t port);
+
+    static Address fromSocket(const sockaddr_storage& socket);
+
+    /// Fills the system's form and returns its length in bytes.
+    socklen_t toSocket(sockaddr_storage& socket) const;
+};
+
+/// An address in a message: any type with the accessors of schema Endpoint.
+template <typename Reader> Address readEndpoint(Reader reader)
+{
+    return { reader.getHigh(), reader.getLow(), reader.getPort() };
+}
+
+template <typename Builder> void writeEndpoint(Builder builder, const Address& address)
+{
+    builder.setHigh(address.high);
+    builder.setLow(address.low);
+    builder.setPort(address.port);
+}
+
+} // namespace yuccahook::net
+
+template <> struct std::hash<yuccahook::net::Address> {
+    std::size_t operator()(const yuccahook::net::Address& address) const noexcept
+    {
+        constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15;
+        std::uint64_t mixed = (address.high ^ address.port) * multiplier;
+        mixed ^= mixed >> 32;
+        mixed = (mixed ^ address.low) * multiplier;
+        return mixed ^ (mixed >> 29);
+    }
+};
--- /dev/null
+++ b/src/net/LoopThread.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "kernel/BoundedQueue.h"
+
+#include <functional>
+#include <kj/async-io.h>
+#include <kj/async-unix.h>
+#include <string>
+#include <thread>
+
+namespace yuccahook::net {
+
+/// What code on a loop's own thread may use.
+class Loop : private kj::TaskSet::ErrorHandler {
+public:
+    Loop(kj::AsyncIoContext& io, std::string name);
+    Loop(const Loop&) = delete;
+    Loop& operator=(const Loop&) = delete;
+    ~Loop() noexcept(false) = default;
+
+    kj::Timer& timer() { return m_io.provider->getTimer(); }
+    kj::Network& network() { return m_io.provider->getNetwork(); }
+    kj::LowLevelAsyncIoProvider& lowLevel() { return *m_io.lowLevelProvider; }
+    kj::UnixEventPort& eventPort() { return m_io.unixEventPort; }
+    kj::WaitScope& waitScope() { return m_io.waitScope; }
+
+    /// Keeps a promise running until it ends; a failure is logged.
+    void spawn(kj::Promise<void> task) { m_tasks->add(kj::mv(task)); }
+
+    /// Drops all spawned tasks.
+    void cancelAll() { m_tasks = kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler&>(*this)); }
+
+private:
+    void taskFailed(kj::Exception&& exception) override;
+
+    kj::AsyncIoContext& m_io;
+    std::string m_name;
+    kj::Own<kj::TaskSet> m_tasks;
+};
+
+/// A thread with an event loop. All state that a loop serves is touched on its thread only; other threads hand it
+/// work through a bounded queue.
+class LoopThread {
+public:
+    using Work = std::function<void(Loop&)>;
+
+    LoopThread(std::string name, std::size_t queueBound);
+    LoopThread(const LoopThread&) = delete;
+    LoopThread& operator=(const LoopThread&) = delete;
+    ~LoopThread();
+
+    /// Starts the thread; `setUp` runs first on it and `tearDown` last. Returns false when `setUp` threw.
+    bool start(std::function<void(Loop&)> setUp, std::function<void()> tearDown);
+
+    /// Queues work from any thread; false when the queue is full or the loop stopped.
+    bool post(Work work);
+
+    /// Ends the loop and joins the thread.
+    void stop();
+
+private:
+    void run(const std::function<void(Loop&)>& setUp, const std::function<void()>& tearDown,
+        const std::function<void(bool)>& started);
+    kj::Promise<void> takeWork(Loop& loop, kj::UnixEventPort::FdObserver& observer);
+
+    const std::string m_name;
+    kernel::BoundedQueue<Work> m_queue;
+    int m_wakeDescriptor;
+    std::thread m_thread;
+    bool m_stopping = false; // loop thread only
+};
+
+} // namespace yuccahook::net
--- /dev/null
+++ b/src/net/OperatorServer.cpp
@@ -0,0 +1,131 @@
+#include "net/OperatorServer.h"
+
+#include "observe/Log.h"
+
+#include <array>
+#include <civetweb.h>
+#include <nlohmann/json.hpp>
+
+namespace yuccahook::net {
+
+namespace {
+
+constexpr std::size_t maximumBodyBytes = 4 << 20;
+
+bool readBody(mg_connection* connection, std::string& body)
+{
+    std::array<char, 8192> chunk {};
+    for (;;) {
+        const int count = mg_read(connection, chunk.data(), chunk.size());
+        if (count <= 0)
+            return count == 0;
+        if (body.size() + count > maximumBodyBytes)
+            return false;
+        body.append(chunk.data(), count);
+    }
+}
+
+void send(mg_connection* connection, const HttpReply& reply)
+{
+    mg_printf(connection, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n",
+        reply.status, mg_get_response_code_text(connection, reply.status), reply.contentType.c_str(),
+        reply.body.size());
+    mg_write(connection, reply.body.data(), reply.body.size());
+}
+
+} // namespace
+
+OperatorServer::OperatorServer(Address address, observe::Counters& counters)
+    : m_address(address)
+    , m_counters(counters)
+{
+    addRoute("/health", [this](const HttpRequest&) { return health(); });
+    addRoute("/status", [this](const HttpRequest&) { return status(); });
+    addRoute("/metrics", [this](const HttpRequest&) {
+        return HttpReply { 200, "text/plain; version=0.0.4", m_counters.prometheusText() };
+    });
+}
+
+OperatorServer::~OperatorServer() { stop(); }
+
+void OperatorServer::addRoute(std::string path, Handler handler)
+{
+    m_routes.insert_or_assign(std::move(path), std::move(handler));
+}
+
+void OperatorServer::addStatus(std::string key, Status status)
+{
+    m_status.insert_or_assign(std::move(key), std::move(status));
+}
+
+bool OperatorServer::start()
+{
+    mg_init_library(0);
+    const std::string port = m_address.text();
+    const std::array<const char*, 7> options { "listening_ports", port.c_str(), "num_threads", "4",
+        "request_timeout_ms", "15000", nullptr };
+    const mg_callbacks callbacks {};
+    m_context = mg_start(&callbacks, nullptr, const_cast<const char**>(options.data()));
+    if (!m_context) {
+        observe::log(observe::Level::Error, "operator-address-unavailable", { { "address", port } });
+        return false;
+    }
+    mg_set_request_handler(m_context, "/", &OperatorServer::handle, this);
+    return true;
+}
+
+void OperatorServer::stop()
+{
+    if (!m_context)
+        return;
+    mg_stop(m_context);
+    m_context = nullptr;
+    mg_exit_library();
+}
+
+int OperatorServer::handle(mg_connection* connection, void* self)
+{
+    const mg_request_info* info = mg_get_request_info(connection);
+    HttpRequest request { info->request_method, info->local_uri, info->query_string ? info->query_string : "", {} };
+    HttpReply reply;
+    if (readBody(connection, request.body))
+        reply = static_cast<OperatorServer*>(self)->answer(request);
+    else
+        reply = { 413, "application/json", R"({"error":"body-too-large"})" };
+    send(connection, reply);
+    return reply.status;
+}
+
+HttpReply OperatorServer::answer(const HttpRequest& request) const
+{
+    const Handler* longest = nullptr;
+    std::size_t longestLength = 0;
+    for (const auto& [path, handler] : m_routes) {
+        if (request.path.starts_with(path) && path.size() > longestLength) {
+            longest = &handler;
+            longestLength = path.size();
+        }
+    }
+    if (!longest)
+        return { 404, "application/json", R"({"error":"unknown-path"})" };
+    return (*longest)(request);
+}
+
+HttpReply OperatorServer::health() const
+{
+    if (m_draining)
+        return { 503, "application/json", R"({"health":"draining"})" };
+    if (!m_ready)
+        return { 503, "application/json", R"({"health":"live"})" };
+    return { 200, "application/json", R"({"health":"ready"})" };
+}
+
+HttpReply OperatorServer::status() const
+{
+    nlohmann::json body = nlohmann::json::object();
+    for (const auto& [key, status] : m_status)
+        body[key] = status();
+    return { 200, "application/json", body.dump() };
+}
+
+} // namespace yuccahook::net
--- /dev/null
+++ b/src/net/TrunkPool.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "flow/Membership.h"
+#include "net/LoopThread.h"
+#include "trunk.capnp.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <cstdint>
+#include <kj/async-io.h>
+#include <map>
+
+namespace yuccahook::net {
+
+/// The RPC connections from one thread to agents, made when first needed and watched by heartbeats: a connection
+/// that does not answer one is dropped, so that its calls fail instead of hanging.
+class TrunkPool {
+public:
+    explicit TrunkPool(Loop& loop);
+    TrunkPool(const TrunkPool&) = delete;
+    TrunkPool& operator=(const TrunkPool&) = delete;
+
+    /// A connection to the agent; fails when it cannot be reached in time.
+    kj::Promise<schema::AgentNode::Client> connect(const flow::Member& member);
+
+    /// Drops the connections to members that have left.
+    void keepOnly(const flow::Membership& membership);
+
+    std::size_t size() const { return m_connections.size(); }
+
+private:
+    struct Connection {
+        kj::Own<kj::AsyncIoStream> stream;
+        capnp::TwoPartyClient rpc;
+        schema::AgentNode::Client node;
+        kj::Promise<void> heartbeats = nullptr;
+
+        explicit Connection(kj::Own<kj::AsyncIoStream> connected);
+    };
+
+    struct Entry {
+        kj::Maybe<kj::Own<Connection>> connection;
+        kj::ForkedPromise<void> ready = nullptr;
+        bool connecting = false;
+    };
+
+    kj::Promise<void> open(std::uint32_t member, const Address& address);
+    kj::Promise<void> watch(std::uint32_t member, Connection& connection);
+    void drop(std::uint32_t member);
+
+    Loop& m_loop;
+    std::map<std::uint32_t, Entry> m_connections; // by member id
+};
+
+} // namespace yuccahook::net
--- /dev/null
+++ b/src/observe/Log.cpp
@@ -0,0 +1,77 @@
+#include "observe/Log.h"
+
+#include <array>
+#include <chrono>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
+
+namespace yuccahook::observe {
+
+namespace {
+
+std::string instanceName;
+
+constexpr std::array<std::string_view, 4> levelNames { "debug", "info", "warn", "error" };
+
+log4cxx::LevelPtr levelPointer(std::size_t index)
+{
+    switch (index) {
+    case 0:
+        return log4cxx::Level::getDebug();
+    case 1:
+        return log4cxx::Level::getInfo();
+    case 2:
+        return log4cxx::Level::getWarn();
+    default:
+        return log4cxx::Level::getError();
+    }
+}
+
+std::size_t levelIndex(std::string_view name)
+{
+    for (std::size_t index = 0; index < levelNames.size(); ++index) {
+        if (levelNames[index] == name)
+            return index;
+    }
+    return static_cast<std::size_t>(Level::Info);
+}
+
+double secondsNow()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration<double>(now).count();
+}
+
+} // namespace
+
+void setUpLog(std::string_view instance, std::string_view level)
+{
+    instanceName = instance;
+    const auto root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+    root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr()));
+    root->setLevel(levelPointer(levelIndex(level)));
+}
+
+void log(Level level, std::string_view event, const nlohmann::json& fields)
+{
+    const auto index = static_cast<std::size_t>(level);
+    const auto root = log4cxx::Logger::getRootLogger();
+    if (!root->isEnabledFor(levelPointer(index)))
+        return;
+    nlohmann::ordered_json line { { "time", secondsNow() }, { "level", levelNames[index] },
+        { "instance", instanceName }, { "event", event } };
+    for (const auto& field : fields.items())
+        line[field.key()] = field.value();
+    const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    root->forcedLog(levelPointer(index), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+void log(Level level, std::string_view event) { log(level, event, nlohmann::json::object()); }
+
+} // namespace yuccahook::observe
--- /dev/null
+++ b/src/roles/CommandLine.cpp
@@ -0,0 +1,156 @@
+#include "roles/CommandLine.h"
+
+#include "net/HttpCall.h"
+#include "roles/ExitCode.h"
+#include "roles/Process.h"
+#include "settings/Settings.h"
+
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+namespace yuccahook::roles {
+
+namespace {
+
+constexpr auto callTimeout = std::chrono::seconds(10);
+
+constexpr std::string_view helpText = R"(yuccahook - a layer-4 load balancer
+
+  yuccahook balancer|agent|control|all --settings FILE
+      Runs a role. Example: yuccahook all --settings examples/all.json
+  yuccahook check FILE
+      Checks a settings file. Example: yuccahook check examples/all.json
+  yuccahook note submit FILE --control IP:PORT
+      Submits a release note to a control instance's operator address.
+      Example: yuccahook note submit season.json --control 127.0.0.1:7801
+  yuccahook note list --control IP:PORT
+  yuccahook status --address IP:PORT
+      Shows the status of any process from its operator address.
+  yuccahook --version
+
+Exit codes: 0 success, 1 usage, 2 bad settings or note, 3 refused, 4 unreachable, 5 failed.
+)";
+
+struct Arguments {
+    std::vector<std::string> words;
+    std::string settings;
+    std::string control;
+    std::string address;
+    bool json = false;
+};
+
+int code(ExitCode exitCode) { return static_cast<int>(exitCode); }
+
+int reportFaults(const settings::Faults& faults, std::ostream& err)
+{
+    for (const auto& fault : faults)
+        err << settings::describe(fault) << '\n';
+    return code(ExitCode::BadSettings);
+}
+
+int runRole(settings::Role role, const Arguments& arguments, std::ostream& err)
+{
+    settings::Faults faults;
+    const auto text = settings::readFile(arguments.settings, faults);
+    const auto parsed = text ? settings::parseSettings(*text, role, faults) : std::nullopt;
+    if (!parsed)
+        return reportFaults(faults, err);
+    return runProcess(*parsed, role);
+}
+
+int check(const std::string& path, std::ostream& out, std::ostream& err)
+{
+    settings::Faults faults;
+    const auto text = settings::readFile(path, faults);
+    const auto role = text ? settings::roleOf(*text, faults) : std::nullopt;
+    if (!role || !settings::parseSettings(*text, *role, faults))
+        return reportFaults(faults, err);
+    out << path << ": good settings for " << kernel::nameOf(*role) << '\n';
+    return code(ExitCode::Success);
+}
+
+int call(const std::string& address, const net::HttpRequest& request, std::ostream& out, std::ostream& err)
+{
+    const auto target = net::Address::parse(address);
+    if (!target) {
+        err << "an address IP:PORT is needed, seen \"" << address << "\"\n";
+        return code(ExitCode::Usage);
+    }
+    const auto reply = net::httpCall(*target, request, callTimeout);
+    if (!reply) {
+        err << "no answer from " << address << '\n';
+        return code(ExitCode::Unreachable);
+    }
+    const auto body = nlohmann::json::parse(reply->body, nullptr, false);
+    out << (body.is_discarded() ? reply->body : body.dump(2)) << '\n';
+    return code(reply->status < 300 ? ExitCode::Success : ExitCode::Refused);
+}
+
+int runNote(const Arguments& arguments, std::ostream& out, std::ostream& err)
+{
+    const auto& words = arguments.words;
+    if (words.size() == 2 && words[1] == "list")
+        return call(arguments.control, { "GET", "/notes", "", "" }, out, err);
+    if (words.size() == 3 && words[1] == "submit") {
+        settings::Faults faults;
+        const auto text = settings::readFile(words[2], faults);
+        if (!text)
+            return reportFaults(faults, err);
+        return call(arguments.control, { "POST", "/notes", "", *text }, out, err);
+    }
+    err << helpText;
+    return code(ExitCode::Usage);
+}
+
+int run(const Arguments& arguments, std::ostream& out, std::ostream& err)
+{
+    const auto& words = arguments.words;
+    const std::string command = words.empty() ? "" : words.front();
+    if (const auto role = kernel::valueOf<settings::Role>(command))
+        return runRole(*role, arguments, err);
+    if (command == "check" && words.size() == 2)
+        return check(words[1], out, err);
+    if (command == "note")
+        return runNote(arguments, out, err);
+    if (command == "status")
+        return call(arguments.address, { "GET", "/status", "", "" }, out, err);
+    err << helpText;
+    return code(ExitCode::Usage);
+}
+
+} // namespace
+
+int runCommandLine(int argumentCount, const char* const* arguments, std::ostream& out, std::ostream& err)
+{
+    cxxopts::Options options("yuccahook");
+    options.add_options()("settings", "", cxxopts::value<std::string>()->default_value(""))(
+        "control", "", cxxopts::value<std::string>()->default_value(""))(
+        "address", "", cxxopts::value<std::string>()->default_value(""))("json", "")("help", "")("version", "")(
+        "words", "", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional("words");
+    try {
+        const auto parsed = options.parse(argumentCount, arguments);
+        if (parsed.count("help") > 0) {
+            out << helpText;
+            return code(ExitCode::Success);
+        }
+        if (parsed.count("version") > 0) {
+            out << "yuccahook " << YUCCAHOOK_VERSION << '\n';
+            return code(ExitCode::Success);
+        }
+        Arguments read;
+        if (parsed.count("words") > 0)
+            read.words = parsed["words"].as<std::vector<std::string>>();
+        read.settings = parsed["settings"].as<std::string>();
+        read.control = parsed["control"].as<std::string>();
+        read.address = parsed["address"].as<std::string>();
+        read.json = parsed.count("json") > 0;
+        return run(read, out, err);
+    } catch (const cxxopts::exceptions::exception& exception) {
+        err << exception.what() << "\n\n" << helpText;
+        return code(ExitCode::Usage);
+    }
+}
+
+} // namespace yuccahook::roles
--- /dev/null
+++ b/src/roles/CommandLine.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <iosfwd>
+
+namespace yuccahook::roles {
+
+/// Runs one command line and returns its exit code (ExitCode).
+int runCommandLine(int argumentCount, const char* const* arguments, std::ostream& out, std::ostream& err);
+
+} // namespace yuccahook::roles
--- /dev/null
+++ b/src/settings/Settings.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "kernel/EnumNames.h"
+#include "net/Address.h"
+#include "settings/Fault.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yuccahook::settings {
+
+/// What a process of yuccahook does; `All` is one of each.
+enum class Role { Balancer, Agent, Control, All };
+
+/// Mildest level of log events that is written.
+enum class LogLevel { Debug, Info, Warn, Error };
+
+struct BalancerSettings {
+    std::string listenHost; ///< Takes services' ports on this host instead of the services' own addresses.
+    std::uint32_t trafficThreads = 1;
+    std::uint32_t maximumStreams = 100'000;
+};
+
+struct AgentSettings {
+    net::Address trunk; ///< UDP and TCP, for balancers and other agents.
+    std::uint32_t maximumFlows = 20'000;
+    std::uint32_t leaveSeconds = 30; ///< Longest wait for open flows in a planned stop.
+};
+
+struct QuorumPeerSettings {
+    std::uint32_t id = 0;
+    net::Address address;
+};
+
+struct ControlSettings {
+    std::uint32_t id = 1; ///< Unique among the control instances.
+    net::Address listen; ///< RPC, for every other process.
+    std::string data; ///< The data folder.
+    std::vector<QuorumPeerSettings> peers; ///< The other control instances.
+};
+
+/// A settings file, checked.
+struct Settings {
+    std::string name;
+    std::string domain;
+    net::Address operatorAddress;
+    LogLevel logLevel = LogLevel::Info;
+    std::vector<net::Address> control; ///< RPC addresses of control instances, preferred first.
+    std::optional<BalancerSettings> balancer;
+    std::optional<AgentSettings> agent;
+    std::optional<ControlSettings> controlInstance;
+};
+
+/// Reads and checks a settings file for a role; every fault is added to `faults`, and nothing is returned when
+/// there is one.
+std::optional<Settings> parseSettings(std::string_view text, Role role, Faults& faults);
+
+/// The role whose section a settings file has; `All` when it has more than one.
+std::optional<Role> roleOf(std::string_view text, Faults& faults);
+
+/// The text of a file, or a fault.
+std::optional<std::string> readFile(const std::string& path, Faults& faults);
+
+} // namespace yuccahook::settings
+
+template <> struct yuccahook::kernel::EnumNames<yuccahook::settings::Role> {
+    static constexpr std::array<std::string_view, 4> names { "balancer", "agent", "control", "all" };
+};
+
+template <> struct yuccahook::kernel::EnumNames<yuccahook::settings::LogLevel> {
+    static constexpr std::array<std::string_view, 4> names { "debug", "info", "warn", "error" };
+};
--- /dev/null
+++ b/standins/Caller.cpp
@@ -0,0 +1,268 @@
+#include "Caller.h"
+
+#include "net/DatagramSocket.h"
+
+#include <fstream>
+#include <iostream>
+#include <kj/async-io.h>
+#include <kj/async-unix.h>
+#include <kj/compat/http.h>
+#include <kj/debug.h>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace yuccahook::standins {
+
+namespace {
+
+constexpr auto answerTimeout = 10 * kj::SECONDS;
+constexpr auto datagramGrace = 500 * kj::MILLISECONDS;
+constexpr std::uint64_t tolerableLossPercent = 1; // datagrams may be lost, as on any network
+
+/// What all callers saw.
+struct Tally {
+    std::uint64_t connections = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t wrong = 0; ///< Answers of another request, another service or not whole.
+    std::uint64_t refused = 0; ///< Answers with a status other than 200.
+    std::uint64_t closedBetween = 0; ///< Connections that ended before a request was answered at all.
+    std::uint64_t broken = 0; ///< Answers cut short or overdue.
+    std::uint64_t flows = 0;
+    std::uint64_t datagramsSent = 0;
+    std::uint64_t datagramsAnswered = 0;
+    std::uint64_t flowsMoved = 0; ///< Flows that a second backend server answered.
+    std::uint64_t flowsSilent = 0; ///< Flows that were never answered.
+    std::uint64_t misrouted = 0;
+};
+
+nlohmann::json toJson(const Tally& tally)
+{
+    return { { "connections", tally.connections }, { "requests", tally.requests }, { "answered", tally.answered },
+        { "wrong", tally.wrong }, { "refused", tally.refused }, { "closedBetween", tally.closedBetween },
+        { "broken", tally.broken }, { "flows", tally.flows }, { "datagramsSent", tally.datagramsSent },
+        { "datagramsAnswered", tally.datagramsAnswered }, { "flowsMoved", tally.flowsMoved },
+        { "flowsSilent", tally.flowsSilent }, { "misrouted", tally.misrouted } };
+}
+
+bool isGood(const Tally& tally)
+{
+    const std::uint64_t lost = tally.datagramsSent - tally.datagramsAnswered;
+    return tally.wrong == 0 && tally.broken == 0 && tally.refused == 0 && tally.flowsMoved == 0
+        && tally.flowsSilent == 0 && tally.misrouted == 0 && lost * 100 <= tally.datagramsSent * tolerableLossPercent;
+}
+
+/// What the callers of one run share.
+struct Run {
+    kj::AsyncIoContext& io;
+    kj::Timer& timer;
+    Tally tally;
+    std::mt19937_64 random;
+    kj::Duration interval;
+    kj::TimePoint end;
+    std::uint64_t postPercent;
+    std::string expect;
+    std::ofstream acknowledged;
+};
+
+/// Sends one request after another on a connection for as long as it lasts, then takes another.
+class HttpCaller {
+public:
+    HttpCaller(Run& run, const net::Address& address, std::uint64_t id, const kj::HttpHeaderTable& table,
+        kj::HttpHeaderId keyHeader)
+        : m_run(run)
+        , m_address(address)
+        , m_id(id)
+        , m_table(table)
+        , m_keyHeader(keyHeader)
+    {
+    }
+
+    kj::Promise<void> go()
+    {
+        if (m_run.timer.now() >= m_run.end)
+            return kj::READY_NOW;
+        sockaddr_storage storage {};
+        const socklen_t length = m_address.toSocket(storage);
+        auto target = m_run.io.provider->getNetwork().getSockaddr(&storage, length);
+        auto& connecting = *target;
+        return connecting.connect()
+            .attach(kj::mv(target))
+            .then([this](auto stream) {
+                ++m_run.tally.connections;
+                m_stream = kj::mv(stream);
+                m_client = kj::newHttpClient(m_table, *m_stream);
+                return requests();
+            })
+            .catch_([this](kj::Exception&& exception) {
+                const bool between = exception.getType() == kj::Exception::Type::DISCONNECTED && !m_answerBegan;
+                ++(between ? m_run.tally.closedBetween : m_run.tally.broken);
+                if (!between)
+                    std::cerr << "caller " << m_id << ": " << exception.getDescription().cStr() << '\n';
+            })
+            .then([this] {
+                m_client = nullptr;
+                m_stream = nullptr;
+                return m_run.timer.afterDelay(m_run.interval);
+            })
+            .then([this] { return go(); });
+    }
+
+private:
+    kj::Promise<void> requests()
+    {
+        if (m_run.timer.now() >= m_run.end)
+            return kj::READY_NOW;
+        return m_run.timer.timeoutAfter(answerTimeout, requestOnce())
+            .then([this] { return m_run.timer.afterDelay(m_run.interval); })
+            .then([this] { return requests(); });
+    }
+
+    kj::Promise<void> requestOnce()
+    {
+        const bool post = m_run.random() % 100 < m_run.postPercent;
+        const std::string key = std::to_string(m_id) + "-" + std::to_string(++m_sequence);
+        const std::string path = "/caller/" + key;
+        const std::string text = post ? "body of " + key : "";
+        const auto method = post ? kj::HttpMethod::POST : kj::HttpMethod::GET;
+        kj::HttpHeaders headers(m_table);
+        headers.set(kj::HttpHeaderId::HOST, "service");
+        if (post)
+            headers.set(m_keyHeader, kj::str(key.c_str()));
+        ++m_run.tally.requests;
+        m_answerBegan = false;
+        auto request = m_client->request(method, path.c_str(), headers, text.size());
+        auto kept = kj::heap<std::string>(text); // outlives the write
+        auto sent = text.empty() ? kj::Promise<void>(kj::READY_NOW) : request.body->write(kept->data(), kept->size());
+        auto sending = sent.attach(kj::mv(request.body), kj::mv(kept)).eagerlyEvaluate(nullptr);
+        const std::string tail = std::string(post ? "|POST " : "|GET ") + path + "|" + text;
+        return request.response
+            .then([this, tail, key, post](kj::HttpClient::Response&& response) {
+                m_answerBegan = true;
+                const auto status = response.statusCode;
+                return response.body->readAllText()
+                    .attach(kj::mv(response.body))
+                    .then([this, tail, key, post, status](
+                              kj::String body) { check(body.cStr(), tail, key, post, status); });
+            })
+            .attach(kj::mv(sending));
+    }
+
+    void check(const std::string& body, const std::string& tail, const std::string& key, bool post, unsigned status)
+    {
+        m_answerBegan = false;
+        if (status != 200) {
+            ++m_run.tally.refused;
+            std::cerr << "caller " << m_id << ": status " << status << ": " << body << '\n';
+            return;
+        }
+        ++m_run.tally.answered;
+        if (!body.ends_with(tail) || !body.starts_with(m_run.expect))
+            ++m_run.tally.wrong;
+        if (post && m_run.acknowledged.is_open())
+            m_run.acknowledged << key << std::endl;
+    }
+
+    Run& m_run;
+    const net::Address m_address;
+    const std::uint64_t m_id;
+    const kj::HttpHeaderTable& m_table;
+    const kj::HttpHeaderId m_keyHeader;
+    kj::Own<kj::AsyncIoStream> m_stream;
+    kj::Own<kj::HttpClient> m_client;
+    std::uint64_t m_sequence = 0;
+    bool m_answerBegan = false;
+};
+
+/// Sends numbered datagrams from one socket and checks that one backend server answers them all.
+class DatagramCaller {
+public:
+    DatagramCaller(Run& run, const net::Address& address, std::uint64_t id)
+        : m_run(run)
+        , m_id(id)
+        , m_socket(net::DatagramSocket::connected(address))
+    {
+        KJ_REQUIRE(m_socket != nullptr, "cannot open a socket");
+        ++m_run.tally.flows;
+    }
+
+    kj::Promise<void> go()
+    {
+        takeAnswers();
+        if (m_run.timer.now() >= m_run.end) {
+            return m_run.timer.afterDelay(datagramGrace).then([this] {
+                takeAnswers();
+                if (m_backend.empty())
+                    ++m_run.tally.flowsSilent;
+                if (m_moved)
+                    ++m_run.tally.flowsMoved;
+            });
+        }
+        const std::string text = std::to_string(m_id) + "-" + std::to_string(++m_sequence);
+        m_socket->sendNow({ reinterpret_cast<const std::uint8_t*>(text.data()), text.size() });
+        ++m_run.tally.datagramsSent;
+        return m_run.timer.afterDelay(m_run.interval).then([this] { return go(); });
+    }
+
+private:
+    void takeAnswers()
+    {
+        while (m_socket->receive([this](const net::Address&, net::Bytes payload) {
+            check({ reinterpret_cast<const char*>(payload.data()), payload.size() });
+        }) > 0) { }
+    }
+
+    void check(const std::string& answer)
+    {
+        ++m_run.tally.datagramsAnswered;
+        const std::string backend = answer.substr(0, answer.find('|'));
+        const std::string mine = std::to_string(m_id) + "-";
+        if (!backend.starts_with(m_run.expect) || !answer.substr(backend.size() + 1).starts_with(mine))
+            ++m_run.tally.misrouted;
+        m_moved = m_moved || (!m_backend.empty() && m_backend != backend);
+        m_backend = backend;
+    }
+
+    Run& m_run;
+    const std::uint64_t m_id;
+    std::unique_ptr<net::DatagramSocket> m_socket;
+    std::uint64_t m_sequence = 0;
+    std::string m_backend;
+    bool m_moved = false;
+};
+
+} // namespace
+
+int runCaller(const Options& options)
+{
+    auto io = kj::setupAsyncIo();
+    auto& timer = io.provider->getTimer();
+    const auto end = timer.now() + static_cast<std::int64_t>(options.number("seconds", 5)) * kj::SECONDS;
+    const auto interval = static_cast<std::int64_t>(options.number("interval-ms", 20)) * kj::MILLISECONDS;
+    Run run { io, timer, {}, std::mt19937_64(options.number("seed", 1)), interval, end,
+        options.number("post-percent", 30), options.text("expect"), {} };
+    if (!options.text("acknowledged").empty())
+        run.acknowledged.open(options.text("acknowledged"), std::ios::app);
+    kj::HttpHeaderTable::Builder headers;
+    const auto keyHeader = headers.add("Idempotency-Key");
+    const auto table = headers.build();
+    std::vector<std::unique_ptr<HttpCaller>> httpCallers;
+    std::vector<std::unique_ptr<DatagramCaller>> datagramCallers;
+    kj::Vector<kj::Promise<void>> running;
+    const std::uint64_t firstId = options.number("first-id", 1);
+    for (std::uint64_t index = 0; index < options.number("http-callers", 0); ++index) {
+        httpCallers.push_back(
+            std::make_unique<HttpCaller>(run, options.address("http"), firstId + index, *table, keyHeader));
+        running.add(httpCallers.back()->go());
+    }
+    for (std::uint64_t index = 0; index < options.number("flows", 0); ++index) {
+        datagramCallers.push_back(std::make_unique<DatagramCaller>(run, options.address("datagram"), firstId + index));
+        running.add(datagramCallers.back()->go());
+    }
+    kj::joinPromises(running.releaseAsArray()).wait(io.waitScope);
+    std::cout << toJson(run.tally).dump() << std::endl;
+    return isGood(run.tally) ? 0 : 1;
+}
+
+} // namespace yuccahook::standins
--- /dev/null
+++ b/tools/local_cluster.py
@@ -0,0 +1,233 @@
+"""Starts and ends the processes of a whole yuccahook system on loopback, for the demo and the fault runs."""
+
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+FABRIC_HOST = "127.0.2.1"
+START_LIMIT_SECONDS = 30
+
+
+def free_port(host="127.0.0.1"):
+    """A port that is free for TCP and UDP at this moment."""
+    while True:
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
+            stream.bind((host, 0))
+            port = stream.getsockname()[1]
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram:
+                try:
+                    datagram.bind((host, port))
+                    return port
+                except OSError:
+                    continue
+
+
+def free_address(host="127.0.0.1"):
+    return f"{host}:{free_port(host)}"
+
+
+def http(method, address, path, body=None, timeout=15):
+    """Returns (status, parsed JSON or text); status 0 when there is no answer."""
+    data = body.encode() if body is not None else None
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as reply:
+            text = reply.read().decode()
+            status = reply.status
+    except urllib.error.HTTPError as error:
+        text = error.read().decode()
+        status = error.code
+    except OSError:
+        return 0, None
+    try:
+        return status, json.loads(text)
+    except ValueError:
+        return status, text
+
+
+class Process:
+    """One process that this program started."""
+
+    def __init__(self, name, arguments, folder):
+        self.name = name
+        self.arguments = arguments
+        self.log = os.path.join(folder, name + ".log")
+        self.start()
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.popen = subprocess.Popen(self.arguments, stdout=log, stderr=log, cwd=ROOT)
+
+    def running(self):
+        return self.popen.poll() is None
+
+    def signal(self, number):
+        if self.running():
+            self.popen.send_signal(number)
+
+    def wait(self, seconds):
+        """The exit code, or None when it still runs."""
+        try:
+            return self.popen.wait(seconds)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def stop(self, seconds=20):
+        """A planned stop; killed when it takes longer. Returns the exit code, negative for a signal."""
+        self.signal(signal.SIGTERM)
+        code = self.wait(seconds)
+        if code is None:
+            self.kill()
+            code = self.wait(5)
+        return code
+
+    def kill(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.wait(5)
+
+
+class LocalCluster:
+    """Control instances, balancers, agents with backend servers and a fabric, in a folder of their own."""
+
+    def __init__(self, build=None):
+        self.build = build or os.environ.get("BUILD", os.path.join(ROOT, "build"))
+        self.folder = tempfile.mkdtemp(prefix="yuccahook-")
+        self.processes = {}
+        self.operators = {}
+        self.control_addresses = []
+        self.control_names = []
+        self.balancer_hosts = {}
+        self.services = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, trace):
+        for process in reversed(list(self.processes.values())):
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+            process.signal(signal.SIGTERM)
+        for process in self.processes.values():
+            if process.wait(5) is None:
+                process.kill()
+        if kind is None:
+            shutil.rmtree(self.folder, ignore_errors=True)
+        else:
+            print(f"logs are kept in {self.folder}")
+
+    def write_settings(self, name, settings):
+        path = os.path.join(self.folder, name + ".json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings, file, indent=2)
+        return path
+
+    def start_role(self, role, name, domain, settings):
+        self.operators.setdefault(name, free_address())
+        common = {"name": name, "domain": domain, "operator": self.operators[name]}
+        path = self.write_settings(name, {**common, **settings})
+        binary = os.path.join(self.build, "yuccahook")
+        self.processes[name] = Process(name, [binary, role, "--settings", path], self.folder)
+        return self.processes[name]
+
+    def start_standin(self, kind, name, *options):
+        binary = os.path.join(self.build, "yuccahook-standin")
+        self.processes[name] = Process(name, [binary, kind, *map(str, options)], self.folder)
+        return self.processes[name]
+
+    def start_control(self, count, domains):
+        addresses = [free_address() for _ in range(count)]
+        self.control_addresses = addresses
+        for index, address in enumerate(addresses):
+            name = f"control-{index + 1}"
+            self.control_names.append(name)
+            peers = [
+                {"id": other + 1, "address": addresses[other]} for other in range(count) if other != index
+            ]
+            self.start_role("control", name, domains[index % len(domains)], {
+                "controlInstance": {
+                    "id": index + 1, "listen": address, "data": os.path.join(self.folder, name), "peers": peers,
+                },
+            })
+
+    def start_balancer(self, index, domain):
+        name = f"balancer-{index}"
+        host = f"127.0.1.{index}"
+        self.balancer_hosts[name] = host
+        self.start_role("balancer", name, domain, {
+            "control": self.control_addresses, "balancer": {"listenHost": host},
+        })
+        return name
+
+    def start_backend(self, service, index, domain, *options, agent_settings=None):
+        """An agent and the backend server beside it."""
+        agent = f"agent-{service}-{index}"
+        backend = f"{service}-{index}"
+        self.start_role("agent", agent, domain, {
+            "control": self.control_addresses,
+            "agent": {"trunk": free_address(), "leaveSeconds": 10, **(agent_settings or {})},
+        })
+        self.start_standin("backend", backend, "--name", backend, "--listen", free_address(), "--agent",
+                           self.operators[agent], "--service", service, *options)
+        return agent, backend
+
+    def service_port(self, service):
+        if service not in self.services:
+            self.services[service] = free_port(FABRIC_HOST)
+        return self.services[service]
+
+    def service_address(self, service):
+        return f"{FABRIC_HOST}:{self.service_port(service)}"
+
+    def start_fabric(self, streams, datagrams, *options):
+        arguments = []
+        for option, services in (("--stream", streams), ("--datagram", datagrams)):
+            for service in services:
+                balancers = ",".join(f"{host}:{self.service_port(service)}" for host in self.balancer_hosts.values())
+                arguments += [option, f"{self.service_address(service)}={balancers}"]
+        return self.start_standin("fabric", "fabric", *arguments, *options)
+
+    def submit_note(self, note, attempts=40):
+        """Submits a note until a control instance answers; returns (status, answer)."""
+        status, answer = 0, None
+        for attempt in range(attempts):
+            name = self.control_names[attempt % len(self.control_names)]
+            status, answer = http("POST", self.operators[name], "/notes", json.dumps(note))
+            if status in (200, 409, 422):
+                return status, answer
+            time.sleep(0.25)
+        return status, answer
+
+    def wait_until(self, what, condition, seconds=START_LIMIT_SECONDS):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if condition():
+                return
+            time.sleep(0.1)
+        raise RuntimeError(f"not within {seconds} s: {what}")
+
+    def members(self):
+        for name in self.control_names:
+            status, answer = http("GET", self.operators[name], "/members")
+            if status == 200:
+                return answer["members"]
+        return []
+
+    def wait_for_members(self, count):
+        self.wait_until(f"{count} members", lambda: sum(m["state"] == "ready" for m in self.members()) == count)
+
+    def revision(self, name):
+        status, answer = http("GET", self.operators[name], "/status")
+        return answer["revision"] if status == 200 else 0
+
+    def wait_for_revision(self, names, revision):
+        self.wait_until(f"revision {revision} at {names}",
+                        lambda: all(self.revision(name) >= revision for name in names))
