--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -267,6 +267,7 @@
             return;
         }
         m_log->propose(SubmitNote { text }, [this, text, &reply, done](ProposeStatus status) {
+            m_counters.counter("notes_submitted_total", "status", kernel::nameOf(status)) += 1;
             if (status == ProposeStatus::Committed)
                 reply = toReply(m_state->judge(text)); // a resend of what was applied gets its answer
             else
--- a/src/net/StreamRelay.cpp
+++ b/src/net/StreamRelay.cpp
@@ -198,7 +198,7 @@
         });
     });
     m_writes = writing.attach(kj::addRef(*this)).fork();
-    auto finished = m_done.addBranch().then([]() { KJ_FAIL_REQUIRE("stream is finished"); });
+    auto finished = m_done.addBranch().then([this] { KJ_REQUIRE(m_lastWritten, "stream is finished"); });
     return m_writes.addBranch().exclusiveJoin(kj::mv(finished)).catch_([this](kj::Exception&& exception) {
         reset(flow::RefusalReason::None);
         kj::throwFatalException(kj::mv(exception));
--- /dev/null
+++ b/tests/kernel/KernelTest.cpp
@@ -0,0 +1,103 @@
+#include "kernel/Kernel.h"
+
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace yuccahook;
+
+namespace {
+
+class RecordingService final : public kernel::Service {
+public:
+    RecordingService(
+        std::string name, std::vector<std::string_view> dependencies, std::string& record, bool starts = true)
+        : m_name(std::move(name))
+        , m_dependencies(std::move(dependencies))
+        , m_record(record)
+        , m_starts(starts)
+    {
+    }
+
+    std::string_view name() const override { return m_name; }
+    std::vector<std::string_view> dependencies() const override { return m_dependencies; }
+
+    bool start() override
+    {
+        m_record += m_starts ? "+" + m_name : "!" + m_name;
+        return m_starts;
+    }
+
+    void stop() override { m_record += "-" + m_name; }
+
+private:
+    const std::string m_name;
+    const std::vector<std::string_view> m_dependencies;
+    std::string& m_record;
+    const bool m_starts;
+};
+
+} // namespace
+
+TEST_CASE("A kernel starts services in the order of their dependencies")
+{
+    std::string record;
+    kernel::Kernel kernel;
+    const auto add = [&](const std::string& name, std::vector<std::string_view> dependencies, bool starts = true) {
+        return kernel.add(std::make_unique<RecordingService>(name, std::move(dependencies), record, starts));
+    };
+
+    SUBCASE("when each service is registered before what it needs")
+    {
+        add("traffic", { "client" });
+        add("client", { "settings" });
+        add("settings", {});
+
+        REQUIRE(kernel.start());
+        CHECK(record == "+settings+client+traffic");
+
+        SUBCASE("and stops them in reverse")
+        {
+            record.clear();
+            kernel.stop();
+            CHECK(record == "-traffic-client-settings");
+        }
+
+        SUBCASE("and finds them by name and type")
+        {
+            CHECK(kernel.find<RecordingService>("client") != nullptr);
+            CHECK(kernel.find<RecordingService>("missing") == nullptr);
+        }
+    }
+
+    SUBCASE("and names the service that is missing")
+    {
+        add("traffic", { "client" });
+        CHECK_FALSE(kernel.start());
+        CHECK(kernel.lastFault()->error == kernel::KernelError::MissingDependency);
+        CHECK(kernel.lastFault()->service == "client");
+    }
+
+    SUBCASE("and refuses a circle")
+    {
+        add("one", { "two" });
+        add("two", { "one" });
+        CHECK_FALSE(kernel.start());
+        CHECK(kernel.lastFault()->error == kernel::KernelError::CircularDependency);
+    }
+
+    SUBCASE("and refuses a second service of one name")
+    {
+        add("one", {});
+        CHECK_FALSE(add("one", {}));
+        CHECK(kernel.lastFault()->error == kernel::KernelError::DuplicateName);
+    }
+
+    SUBCASE("and stops what has started when a later one fails")
+    {
+        add("one", {});
+        add("two", { "one" }, false);
+        CHECK_FALSE(kernel.start());
+        CHECK(record == "+one!two-one");
+        CHECK(kernel.lastFault()->error == kernel::KernelError::ServiceFailed);
+    }
+}
--- /dev/null
+++ b/tests/net/AddressTest.cpp
@@ -0,0 +1,32 @@
+#include "net/Address.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace yuccahook;
+
+TEST_CASE("An address is read and written in one form")
+{
+    SUBCASE("for both versions of IP")
+    {
+        for (const auto* text : { "10.0.0.1:80", "127.0.0.1:65535", "[::1]:1", "[fd00::a:b]:8080" })
+            CHECK(net::Address::parse(text)->text() == text);
+    }
+
+    SUBCASE("and nothing else is an address")
+    {
+        for (const auto* text : { "", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:8x", "host:80", "::1:80",
+                 "[10.0.0.1]:80", "10.0.0:80", ":80", "10.0.0.1:" })
+            CHECK_FALSE(net::Address::parse(text));
+    }
+
+    SUBCASE("and survives the system's form")
+    {
+        CHECK(rc::check("any address", [](std::uint64_t high, std::uint64_t low, std::uint16_t port) {
+            const net::Address address { high, low, port };
+            sockaddr_storage socket {};
+            address.toSocket(socket);
+            RC_ASSERT(net::Address::fromSocket(socket) == address);
+        }));
+    }
+}
--- /dev/null
+++ b/tests/settings/SettingsTest.cpp
@@ -0,0 +1,57 @@
+#include "settings/Settings.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <filesystem>
+
+using namespace yuccahook;
+using settings::FaultKind;
+
+namespace {
+
+const std::string goodBalancer = R"({"name":"b","domain":"coban","operator":"127.0.0.1:1",
+    "control":["127.0.0.1:2"],"balancer":{}})";
+
+bool hasFault(const settings::Faults& faults, FaultKind kind, const std::string& path)
+{
+    return std::any_of(faults.begin(), faults.end(),
+        [&](const settings::Fault& fault) { return fault.kind == kind && fault.path == path; });
+}
+
+} // namespace
+
+TEST_CASE("Settings are checked whole")
+{
+    settings::Faults faults;
+
+    SUBCASE("good settings are taken")
+    {
+        CHECK(settings::parseSettings(goodBalancer, settings::Role::Balancer, faults));
+        CHECK(faults.empty());
+    }
+
+    SUBCASE("every fault is found in one pass, with its path")
+    {
+        const auto* text = R"({"name":7,"operator":"localhost:1","control":["127.0.0.1:2","127.0.0.1:2"],
+            "balancer":{"trafficThreads":0,"listenhost":"x"}})";
+        CHECK_FALSE(settings::parseSettings(text, settings::Role::Balancer, faults));
+        CHECK(hasFault(faults, FaultKind::WrongType, "name"));
+        CHECK(hasFault(faults, FaultKind::MissingKey, "domain"));
+        CHECK(hasFault(faults, FaultKind::Malformed, "operator"));
+        CHECK(hasFault(faults, FaultKind::Duplicate, "control[1]"));
+        CHECK(hasFault(faults, FaultKind::OutOfRange, "balancer.trafficThreads"));
+        CHECK(hasFault(faults, FaultKind::UnknownKey, "balancer.listenhost"));
+    }
+
+    SUBCASE("a role's section must be there")
+    {
+        CHECK_FALSE(settings::parseSettings(goodBalancer, settings::Role::Agent, faults));
+        CHECK(hasFault(faults, FaultKind::MissingKey, "agent"));
+    }
+
+    SUBCASE("what is not JSON is refused with the byte")
+    {
+        CHECK_FALSE(settings::parseSettings("{\"name\":", settings::Role::Balancer, faults));
+        CHECK(faults.front().kind == FaultKind::NotJson);
+    }
+}
