End a leaving balancer's HTTP streams after the answer in progress

Cause: a planned stop of a balancer waited for callers to close their connections, up to the callers' own end; keep-alive connections never would.

Change: the balancer asks each agent to finish its streams (StreamTrunk.finish); the agent's HTTP front serves each stream with a server of its own and drains that one. A stream of an HTTP service ends both ways once the caller has the whole answer. The streams of an agent are a class of their own (roles/AgentStreams). The stand-in fabric passed a half-close on only after both directions had ended, because its continuations were evaluated lazily; they are evaluated at once now.

Conclusion: a planned stop no longer depends on callers.

--- a/schema/trunk.capnp
+++ b/schema/trunk.capnp
@@ -45,6 +45,8 @@
   open @0 (stream :OpenStream) -> (status :UInt8, reason :UInt8, member :UInt32, received :UInt64, end :StreamEnd);
   # status is net::OpenStatus. A redirect names the member to ask next.
   ping @1 () -> (member :UInt32, revision :UInt64);
+  finish @2 (stream :UInt64) -> ();
+  # The balancer is about to leave: the agent ends the stream after the answer in progress, where it can tell.
 }
 
 interface FlowPeer {
--- a/src/net/StreamRelay.cpp
+++ b/src/net/StreamRelay.cpp
@@ -136,6 +136,8 @@
             if (last)
                 m_lastAcknowledged = true;
             acknowledged(response.getReceived(), attachment);
+            if (last && m_endWithLocal)
+                reset(flow::RefusalReason::None);
         })
         .detach([this, self = kj::addRef(*this), attachment](kj::Exception&&) {
             if (attachment != m_attachment || !m_attached)
--- a/src/net/StreamRelay.h
+++ b/src/net/StreamRelay.h
@@ -38,6 +38,10 @@
     /// Ends both directions at once and tells the other end when attached.
     void reset(flow::RefusalReason reason);
 
+    /// Ends the stream both ways once the local side has ended and the other end has all of it, as suits protocols
+    /// whose server closes last.
+    void endWithLocal() { m_endWithLocal = true; }
+
     /// Ends when both directions have been carried to their ends, or at a reset.
     kj::Promise<void> whenDone() { return m_done.addBranch(); }
 
@@ -83,6 +87,7 @@
     std::uint64_t m_read = 0; // bytes read from the local stream
     std::uint64_t m_nextToSend = 0; // offset
     bool m_readEnd = false;
+    bool m_endWithLocal = false;
     bool m_lastSent = false;
     bool m_lastAcknowledged = false;
     kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> m_windowOpen;
--- a/src/request/HttpFront.cpp
+++ b/src/request/HttpFront.cpp
@@ -6,11 +6,20 @@
     : m_counters(counters)
     , m_backend(kj::mv(backend))
     , m_client(kj::newHttpClient(loop.timer(), m_headers, *m_backend))
-    , m_server(loop.timer(), m_headers, *this)
+    , m_timer(loop.timer())
 {
 }
 
-kj::Promise<void> HttpFront::serve(kj::Own<kj::AsyncIoStream> stream) { return m_server.listenHttp(kj::mv(stream)); }
+HttpFront::Served::Served(HttpFront& front, kj::Own<kj::AsyncIoStream> stream)
+    : m_server(front.m_timer, front.m_headers, front)
+    , m_serving(m_server.listenHttp(kj::mv(stream)).eagerlyEvaluate([](kj::Exception&&) {}))
+{
+}
+
+void HttpFront::Served::drain()
+{
+    m_draining = m_server.drain().eagerlyEvaluate([](kj::Exception&&) {});
+}
 
 kj::Promise<void> HttpFront::request(kj::HttpMethod method, kj::StringPtr url, const kj::HttpHeaders& headers,
     kj::AsyncInputStream& body, Response& response)
--- a/src/request/HttpFront.h
+++ b/src/request/HttpFront.h
@@ -13,11 +13,22 @@
 public:
     HttpFront(net::Loop& loop, kj::Own<kj::NetworkAddress> backend, observe::Counters& counters);
 
-    /// Serves one caller's stream until it ends.
-    kj::Promise<void> serve(kj::Own<kj::AsyncIoStream> stream);
+    /// One caller's stream. Dropping it cuts the stream.
+    class Served {
+    public:
+        Served(HttpFront& front, kj::Own<kj::AsyncIoStream> stream);
 
-    /// Ends streams after the answer in progress; resolves when all have ended.
-    kj::Promise<void> drain() { return m_server.drain(); }
+        /// Ends the stream after the answer in progress.
+        void drain();
+
+    private:
+        kj::HttpServer m_server;
+        kj::Promise<void> m_serving;
+        kj::Promise<void> m_draining = nullptr;
+    };
+
+    /// Serves a caller's stream until it ends.
+    kj::Own<Served> serve(kj::Own<kj::AsyncIoStream> stream) { return kj::heap<Served>(*this, kj::mv(stream)); }
 
 private:
     kj::Promise<void> request(kj::HttpMethod method, kj::StringPtr url, const kj::HttpHeaders& headers,
@@ -27,7 +38,7 @@
     kj::HttpHeaderTable m_headers;
     kj::Own<kj::NetworkAddress> m_backend;
     kj::Own<kj::HttpClient> m_client;
-    kj::HttpServer m_server;
+    kj::Timer& m_timer;
 };
 
 } // namespace yuccahook::request
--- /dev/null
+++ b/src/roles/AgentStreams.cpp
@@ -0,0 +1,199 @@
+#include "roles/AgentStreams.h"
+
+#include "net/OpenStatus.h"
+
+#include <kj/debug.h>
+
+namespace yuccahook::roles {
+
+namespace {
+
+using flow::RefusalReason;
+using flow::Verdict;
+
+constexpr auto resumeTimeout = 15 * kj::SECONDS;
+constexpr auto backendTimeout = 2 * kj::SECONDS;
+
+kj::Own<kj::NetworkAddress> networkAddress(kj::Network& network, const net::Address& address)
+{
+    sockaddr_storage socket {};
+    const socklen_t length = address.toSocket(socket);
+    return network.getSockaddr(&socket, length);
+}
+
+} // namespace
+
+/// Opens and resumes streams for balancers.
+class AgentStreams::Server final : public schema::StreamTrunk::Server {
+public:
+    explicit Server(AgentStreams& streams)
+        : m_streams(streams)
+    {
+    }
+
+    kj::Promise<void> open(OpenContext context) override
+    {
+        const auto stream = context.getParams().getStream();
+        const std::uint64_t id = stream.getStream();
+        const flow::FlowKey key { net::readEndpoint(stream.getCaller()), stream.getService() };
+        if (const auto known = m_streams.m_streams.find(id); known != m_streams.m_streams.end()) {
+            accept(context, *known->second.relay);
+            return kj::READY_NOW;
+        }
+        if (stream.getResume())
+            return refuse(context, RefusalReason::UnknownFlow);
+        if (stream.getMember() != m_streams.m_member)
+            return refuse(context, RefusalReason::UnknownMember);
+        const flow::Packet packet { key, flow::PacketHint::Start, 0, stream.getRevision(), 0 };
+        const auto decision = m_streams.m_flows.decide(packet, m_streams.now());
+        switch (decision.verdict) {
+        case Verdict::Deliver:
+        case Verdict::Open:
+            return m_streams.open(id, key).then(
+                [this, context](kj::Own<net::StreamRelay> relay) mutable {
+                    accept(context, *relay);
+                    return kj::Promise<void>(kj::READY_NOW);
+                },
+                [this, context, key](kj::Exception&&) mutable {
+                    m_streams.m_flows.close(key);
+                    return refuse(context, RefusalReason::BackendUnreachable);
+                });
+        case Verdict::Forward:
+            context.getResults().setStatus(static_cast<std::uint8_t>(net::OpenStatus::Redirect));
+            context.getResults().setMember(decision.member);
+            return kj::READY_NOW;
+        case Verdict::Refuse:
+            break;
+        }
+        return refuse(context, decision.reason);
+    }
+
+    kj::Promise<void> finish(FinishContext context) override
+    {
+        m_streams.finish(context.getParams().getStream());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> ping(PingContext context) override
+    {
+        context.getResults().setMember(m_streams.m_member);
+        return kj::READY_NOW;
+    }
+
+private:
+    void accept(OpenContext& context, net::StreamRelay& relay)
+    {
+        const auto stream = context.getParams().getStream();
+        auto results = context.getResults();
+        results.setStatus(static_cast<std::uint8_t>(net::OpenStatus::Accepted));
+        results.setReceived(relay.received());
+        results.setEnd(relay.end());
+        relay.attach(stream.getEnd(), stream.getReceived());
+    }
+
+    kj::Promise<void> refuse(OpenContext& context, RefusalReason reason)
+    {
+        m_streams.m_counters.counter("flows_refused_total", "reason", kernel::nameOf(reason)) += 1;
+        auto results = context.getResults();
+        results.setStatus(static_cast<std::uint8_t>(net::OpenStatus::Refused));
+        results.setReason(static_cast<std::uint8_t>(reason));
+        return kj::READY_NOW;
+    }
+
+    AgentStreams& m_streams;
+};
+
+AgentStreams::AgentStreams(net::Loop& loop, observe::Counters& counters, flow::AgentFlows& flows)
+    : m_loop(loop)
+    , m_counters(counters)
+    , m_flows(flows)
+{
+}
+
+AgentStreams::~AgentStreams() = default;
+
+schema::StreamTrunk::Client AgentStreams::trunk() { return kj::heap<Server>(*this); }
+
+void AgentStreams::setMembership(flow::MembershipPointer membership, std::uint32_t member)
+{
+    m_membership = std::move(membership);
+    m_member = member;
+}
+
+void AgentStreams::setBackend(const net::Address& address)
+{
+    if (m_backend == address)
+        return;
+    m_backend = address;
+    m_http = std::make_unique<request::HttpFront>(m_loop, networkAddress(m_loop.network(), address), m_counters);
+}
+
+void AgentStreams::drain()
+{
+    for (auto& [id, stream] : m_streams) {
+        if (stream.served.get() != nullptr)
+            stream.served->drain();
+    }
+}
+
+flow::Time AgentStreams::now() const
+{
+    return std::chrono::nanoseconds((m_loop.timer().now() - kj::origin<kj::TimePoint>()) / kj::NANOSECONDS);
+}
+
+kj::Promise<kj::Own<net::StreamRelay>> AgentStreams::open(std::uint64_t id, const flow::FlowKey& key)
+{
+    KJ_REQUIRE(m_backend.has_value(), "no backend server");
+    const auto* service = m_membership->service(key.service);
+    if (service->protocol == flow::Protocol::Http) {
+        auto pipe = kj::newTwoWayPipe();
+        auto served = m_http->serve(kj::mv(pipe.ends[1]));
+        auto relay = kj::refcounted<net::StreamRelay>(kj::mv(pipe.ends[0]));
+        relay->endWithLocal();
+        return add(id, { key, kj::mv(relay), kj::mv(served) });
+    }
+    auto target = networkAddress(m_loop.network(), *m_backend);
+    auto connecting = target->connect().attach(kj::mv(target));
+    return m_loop.timer().timeoutAfter(backendTimeout, kj::mv(connecting)).then([this, id, key](auto stream) {
+        return add(
+            id, { key, kj::refcounted<net::StreamRelay>(kj::mv(stream)), kj::Own<request::HttpFront::Served>() });
+    });
+}
+
+kj::Own<net::StreamRelay> AgentStreams::add(std::uint64_t id, Stream stream)
+{
+    auto relay = kj::addRef(*stream.relay);
+    relay->onDetached([this, id] { m_loop.spawn(abandonUnlessResumed(id)); });
+    m_loop.spawn(relay->whenDone().then([this, id] { close(id); }));
+    m_streams.insert_or_assign(id, kj::mv(stream));
+    m_onChange();
+    return relay;
+}
+
+void AgentStreams::finish(std::uint64_t id)
+{
+    const auto found = m_streams.find(id);
+    if (found != m_streams.end() && found->second.served.get() != nullptr)
+        found->second.served->drain();
+}
+
+void AgentStreams::close(std::uint64_t id)
+{
+    const auto found = m_streams.find(id);
+    if (found == m_streams.end())
+        return;
+    m_flows.close(found->second.key);
+    m_streams.erase(found);
+    m_onChange();
+}
+
+kj::Promise<void> AgentStreams::abandonUnlessResumed(std::uint64_t id)
+{
+    return m_loop.timer().afterDelay(resumeTimeout).then([this, id] {
+        const auto found = m_streams.find(id);
+        if (found != m_streams.end() && !found->second.relay->attached())
+            found->second.relay->reset(RefusalReason::TrunkLost);
+    });
+}
+
+} // namespace yuccahook::roles
--- /dev/null
+++ b/src/roles/AgentStreams.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "flow/AgentFlows.h"
+#include "net/LoopThread.h"
+#include "net/StreamRelay.h"
+#include "observe/Counters.h"
+#include "request/HttpFront.h"
+
+#include <functional>
+#include <kj/async-io.h>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace yuccahook::roles {
+
+/// The streams open at an agent. Balancers open them, and resume them when a trunk was lost; an HTTP service's
+/// streams end at the agent, the others at the backend server.
+class AgentStreams {
+public:
+    AgentStreams(net::Loop& loop, observe::Counters& counters, flow::AgentFlows& flows);
+    ~AgentStreams();
+    AgentStreams(const AgentStreams&) = delete;
+    AgentStreams& operator=(const AgentStreams&) = delete;
+
+    /// The capability that balancers use; this object must outlive its connections.
+    schema::StreamTrunk::Client trunk();
+
+    void setMembership(flow::MembershipPointer membership, std::uint32_t member);
+    void setBackend(const net::Address& address);
+
+    /// Takes no new streams; those of HTTP services end after the answer in progress.
+    void drain();
+
+    std::size_t size() const { return m_streams.size(); }
+
+    /// Called when a stream was opened or has ended.
+    void onChange(std::function<void()> callback) { m_onChange = std::move(callback); }
+
+private:
+    class Server;
+    friend class Server;
+
+    struct Stream {
+        flow::FlowKey key;
+        kj::Own<net::StreamRelay> relay;
+        kj::Own<request::HttpFront::Served> served; // of an HTTP service
+    };
+
+    flow::Time now() const;
+    kj::Promise<kj::Own<net::StreamRelay>> open(std::uint64_t id, const flow::FlowKey& key);
+    kj::Own<net::StreamRelay> add(std::uint64_t id, Stream stream);
+    void finish(std::uint64_t id);
+    void close(std::uint64_t id);
+    kj::Promise<void> abandonUnlessResumed(std::uint64_t id);
+
+    net::Loop& m_loop;
+    observe::Counters& m_counters;
+    flow::AgentFlows& m_flows;
+    flow::MembershipPointer m_membership;
+    std::uint32_t m_member = 0;
+    std::optional<net::Address> m_backend;
+    std::unique_ptr<request::HttpFront> m_http;
+    std::map<std::uint64_t, Stream> m_streams; // by stream id
+    std::function<void()> m_onChange = [] {};
+};
+
+} // namespace yuccahook::roles
--- a/src/roles/AgentTraffic.cpp
+++ b/src/roles/AgentTraffic.cpp
@@ -1,6 +1,5 @@
 #include "roles/AgentTraffic.h"
 
-#include "net/OpenStatus.h"
 #include "observe/Log.h"
 
 #include <kj/debug.h>
@@ -14,8 +13,6 @@
 using flow::Verdict;
 
 constexpr auto expireInterval = 1 * kj::SECONDS;
-constexpr auto resumeTimeout = 15 * kj::SECONDS;
-constexpr auto backendTimeout = 2 * kj::SECONDS;
 
 kj::Own<kj::NetworkAddress> networkAddress(kj::Network& network, const net::Address& address)
 {
@@ -26,85 +23,11 @@
 
 } // namespace
 
-/// Opens and resumes streams for balancers.
-class AgentTraffic::StreamTrunkServer final : public schema::StreamTrunk::Server {
-public:
-    explicit StreamTrunkServer(AgentTraffic& traffic)
-        : m_traffic(traffic)
-    {
-    }
-
-    kj::Promise<void> open(OpenContext context) override
-    {
-        const auto stream = context.getParams().getStream();
-        const std::uint64_t id = stream.getStream();
-        const flow::FlowKey key { net::readEndpoint(stream.getCaller()), stream.getService() };
-        if (const auto known = m_traffic.m_streams.find(id); known != m_traffic.m_streams.end()) {
-            accept(context, *known->second.relay);
-            return kj::READY_NOW;
-        }
-        if (stream.getResume())
-            return refuse(context, RefusalReason::UnknownFlow);
-        if (stream.getMember() != m_traffic.m_member)
-            return refuse(context, RefusalReason::UnknownMember);
-        const flow::Packet packet { key, flow::PacketHint::Start, 0, stream.getRevision(), 0 };
-        const auto decision = m_traffic.m_flows.decide(packet, m_traffic.now());
-        switch (decision.verdict) {
-        case Verdict::Deliver:
-        case Verdict::Open:
-            return m_traffic.openStream(id, key).then(
-                [this, context](kj::Own<net::StreamRelay> relay) mutable {
-                    accept(context, *relay);
-                    return kj::Promise<void>(kj::READY_NOW);
-                },
-                [this, context, key](kj::Exception&&) mutable {
-                    m_traffic.m_flows.close(key);
-                    return refuse(context, RefusalReason::BackendUnreachable);
-                });
-        case Verdict::Forward:
-            context.getResults().setStatus(static_cast<std::uint8_t>(net::OpenStatus::Redirect));
-            context.getResults().setMember(decision.member);
-            return kj::READY_NOW;
-        case Verdict::Refuse:
-            break;
-        }
-        return refuse(context, decision.reason);
-    }
-
-    kj::Promise<void> ping(PingContext context) override
-    {
-        context.getResults().setMember(m_traffic.m_member);
-        return kj::READY_NOW;
-    }
-
-private:
-    void accept(OpenContext& context, net::StreamRelay& relay)
-    {
-        const auto stream = context.getParams().getStream();
-        auto results = context.getResults();
-        results.setStatus(static_cast<std::uint8_t>(net::OpenStatus::Accepted));
-        results.setReceived(relay.received());
-        results.setEnd(relay.end());
-        relay.attach(stream.getEnd(), stream.getReceived());
-    }
-
-    kj::Promise<void> refuse(OpenContext& context, RefusalReason reason)
-    {
-        m_traffic.m_counters.counter("flows_refused_total", "reason", kernel::nameOf(reason)) += 1;
-        auto results = context.getResults();
-        results.setStatus(static_cast<std::uint8_t>(net::OpenStatus::Refused));
-        results.setReason(static_cast<std::uint8_t>(reason));
-        return kj::READY_NOW;
-    }
-
-    AgentTraffic& m_traffic;
-};
-
 /// The bootstrap interface of the agent's trunk.
 class AgentTraffic::Node final : public schema::AgentNode::Server {
 public:
     explicit Node(AgentTraffic& traffic)
-        : m_streams(kj::heap<StreamTrunkServer>(traffic))
+        : m_streams(traffic.m_streams.trunk())
     {
     }
 
@@ -126,6 +49,7 @@
     , m_counters(counters)
     , m_openFlows(openFlows)
     , m_flows(settings.maximumFlows)
+    , m_streams(loop, counters, m_flows)
     , m_trunk(net::DatagramSocket::bound(settings.trunk))
 {
     KJ_REQUIRE(m_trunk != nullptr, "trunk address unavailable", settings.trunk.text().c_str());
@@ -133,6 +57,7 @@
         loop.eventPort(), m_trunk->descriptor(), kj::UnixEventPort::FdObserver::OBSERVE_READ);
     m_server = kj::heap<capnp::TwoPartyServer>(kj::heap<Node>(*this));
     m_receiver = networkAddress(loop.network(), settings.trunk)->listen();
+    m_streams.onChange([this] { countFlows(); });
     loop.spawn(m_server->listen(*m_receiver));
     loop.spawn(takeTrunk());
     loop.spawn(expireIdle());
@@ -158,6 +83,7 @@
         return;
     m_member = findSelf();
     m_flows.setMembership(m_membership, m_member);
+    m_streams.setMembership(m_membership, m_member);
 }
 
 std::uint32_t AgentTraffic::findSelf() const
@@ -171,17 +97,14 @@
 
 void AgentTraffic::setBackend(const net::Address& address)
 {
-    if (m_backend == address)
-        return;
     m_backend = address;
-    m_http = std::make_unique<request::HttpFront>(m_loop, networkAddress(m_loop.network(), address), m_counters);
+    m_streams.setBackend(address);
 }
 
 void AgentTraffic::drain()
 {
     m_flows.drain();
-    if (m_http)
-        m_loop.spawn(m_http->drain());
+    m_streams.drain();
 }
 
 flow::Time AgentTraffic::now() const
@@ -302,49 +225,4 @@
 
 void AgentTraffic::countFlows() { m_openFlows = m_streams.size() + m_datagramFlows.size(); }
 
-kj::Promise<kj::Own<net::StreamRelay>> AgentTraffic::openStream(std::uint64_t id, const flow::FlowKey& key)
-{
-    KJ_REQUIRE(m_backend.has_value(), "no backend server");
-    const auto* service = m_membership->service(key.service);
-    kj::Promise<void> serving = nullptr;
-    kj::Promise<kj::Own<kj::AsyncIoStream>> local = nullptr;
-    if (service->protocol == flow::Protocol::Http) {
-        auto pipe = kj::newTwoWayPipe();
-        serving = m_http->serve(kj::mv(pipe.ends[1])).eagerlyEvaluate([](kj::Exception&&) {});
-        local = kj::mv(pipe.ends[0]);
-    } else {
-        auto target = networkAddress(m_loop.network(), *m_backend);
-        auto connecting = target->connect().attach(kj::mv(target));
-        local = m_loop.timer().timeoutAfter(backendTimeout, kj::mv(connecting));
-    }
-    return local.then([this, id, key, serving = kj::mv(serving)](kj::Own<kj::AsyncIoStream> stream) mutable {
-        auto relay = kj::refcounted<net::StreamRelay>(kj::mv(stream));
-        relay->onDetached([this, id] { m_loop.spawn(abandonUnlessResumed(id)); });
-        m_loop.spawn(relay->whenDone().then([this, id] { closeStream(id); }));
-        auto result = kj::addRef(*relay);
-        m_streams.insert_or_assign(id, StreamFlow { key, kj::mv(relay), kj::mv(serving) });
-        countFlows();
-        return result;
-    });
-}
-
-void AgentTraffic::closeStream(std::uint64_t id)
-{
-    const auto found = m_streams.find(id);
-    if (found == m_streams.end())
-        return;
-    m_flows.close(found->second.key);
-    m_streams.erase(found);
-    countFlows();
-}
-
-kj::Promise<void> AgentTraffic::abandonUnlessResumed(std::uint64_t id)
-{
-    return m_loop.timer().afterDelay(resumeTimeout).then([this, id] {
-        const auto found = m_streams.find(id);
-        if (found != m_streams.end() && !found->second.relay->attached())
-            found->second.relay->reset(RefusalReason::TrunkLost);
-    });
-}
-
 } // namespace yuccahook::roles
--- a/src/roles/AgentTraffic.h
+++ b/src/roles/AgentTraffic.h
@@ -3,16 +3,14 @@
 #include "flow/AgentFlows.h"
 #include "net/DatagramSocket.h"
 #include "net/LoopThread.h"
-#include "net/StreamRelay.h"
 #include "net/TrunkDatagram.h"
 #include "observe/Counters.h"
-#include "request/HttpFront.h"
+#include "roles/AgentStreams.h"
 #include "settings/Settings.h"
 
 #include <atomic>
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,8 +40,7 @@
 
 private:
     class Node;
-    class StreamTrunkServer;
-    friend class StreamTrunkServer;
+    friend class Node;
 
     /// A datagram flow open here: its own socket, so that the backend server tells callers apart.
     struct DatagramFlow {
@@ -53,13 +50,6 @@
         kj::Promise<void> replies = nullptr;
     };
 
-    /// A stream open here.
-    struct StreamFlow {
-        flow::FlowKey key;
-        kj::Own<net::StreamRelay> relay;
-        kj::Promise<void> serving = nullptr;
-    };
-
     void applyMembership();
     std::uint32_t findSelf() const;
     flow::Time now() const;
@@ -71,9 +61,6 @@
     void refuse(const net::TrunkDatagram& datagram, flow::RefusalReason reason);
     kj::Promise<void> expireIdle();
     void countFlows();
-    kj::Promise<kj::Own<net::StreamRelay>> openStream(std::uint64_t id, const flow::FlowKey& key);
-    void closeStream(std::uint64_t id);
-    kj::Promise<void> abandonUnlessResumed(std::uint64_t id);
 
     const std::string m_name;
     const settings::AgentSettings m_settings;
@@ -81,16 +68,15 @@
     observe::Counters& m_counters;
     std::atomic<std::uint64_t>& m_openFlows;
     flow::AgentFlows m_flows;
+    AgentStreams m_streams;
     flow::MembershipPointer m_membership;
     std::uint64_t m_incarnation = 0;
     std::uint32_t m_member = 0; // 0 before it has joined
     std::optional<net::Address> m_backend;
-    std::unique_ptr<request::HttpFront> m_http;
     std::unique_ptr<net::DatagramSocket> m_trunk;
     kj::Own<kj::UnixEventPort::FdObserver> m_trunkObserver;
     net::TrunkBuffer m_buffer;
     std::unordered_map<flow::FlowKey, std::unique_ptr<DatagramFlow>> m_datagramFlows;
-    std::map<std::uint64_t, StreamFlow> m_streams; // by stream id
     kj::Own<capnp::TwoPartyServer> m_server;
     kj::Own<kj::ConnectionReceiver> m_receiver;
 };
--- a/src/roles/BalancerTraffic.cpp
+++ b/src/roles/BalancerTraffic.cpp
@@ -42,6 +42,23 @@
         return m_relay->whenDone();
     }
 
+    /// Asks the agent to end the stream after the answer in progress, since this balancer leaves.
+    void leave()
+    {
+        KJ_IF_MAYBE (id, m_member) {
+            const flow::Member* member = m_traffic.m_map->membership().member(*id);
+            if (!member)
+                return;
+            m_leaving = m_traffic.m_pool.connect(*member)
+                            .then([this](schema::AgentNode::Client node) {
+                                auto request = node.streamsRequest().send().getTrunk().finishRequest();
+                                request.setStream(m_id);
+                                return request.send().ignoreResult();
+                            })
+                            .eagerlyEvaluate([](kj::Exception&&) {});
+        }
+    }
+
 private:
     void resume()
     {
@@ -138,6 +155,7 @@
     bool m_placed = false;
     int m_attempts = 0;
     kj::Promise<void> m_opening = nullptr;
+    kj::Promise<void> m_leaving = nullptr;
 };
 
 BalancerTraffic::BalancerTraffic(const settings::BalancerSettings& settings, net::Loop& loop,
@@ -185,6 +203,8 @@
         entrance->task = nullptr;
         entrance->streams = nullptr;
     }
+    for (auto& [id, stream] : m_streams)
+        stream->leave();
 }
 
 net::Address BalancerTraffic::entranceAddress(const flow::ServiceSpec& service) const
--- a/standins/Caller.cpp
+++ b/standins/Caller.cpp
@@ -96,7 +96,8 @@
                 return requests();
             })
             .catch_([this](kj::Exception&& exception) {
-                const bool between = exception.getType() == kj::Exception::Type::DISCONNECTED && !m_answerBegan;
+                const bool disconnected = exception.getType() == kj::Exception::Type::DISCONNECTED;
+                const bool between = !m_requestSent || (disconnected && !m_answerBegan);
                 ++(between ? m_run.tally.closedBetween : m_run.tally.broken);
                 if (!between)
                     std::cerr << "caller " << m_id << ": " << exception.getDescription().cStr() << '\n';
@@ -132,10 +133,12 @@
             headers.set(m_keyHeader, kj::str(key.c_str()));
         ++m_run.tally.requests;
         m_answerBegan = false;
+        m_requestSent = false; // a client whose connection has ended refuses at once
         auto request = m_client->request(method, path.c_str(), headers, text.size());
         auto kept = kj::heap<std::string>(text); // outlives the write
         auto sent = text.empty() ? kj::Promise<void>(kj::READY_NOW) : request.body->write(kept->data(), kept->size());
         auto sending = sent.attach(kj::mv(request.body), kj::mv(kept)).eagerlyEvaluate(nullptr);
+        m_requestSent = true;
         const std::string tail = std::string(post ? "|POST " : "|GET ") + path + "|" + text;
         return request.response
             .then([this, tail, key, post](kj::HttpClient::Response&& response) {
@@ -173,6 +176,7 @@
     kj::Own<kj::HttpClient> m_client;
     std::uint64_t m_sequence = 0;
     bool m_answerBegan = false;
+    bool m_requestSent = false;
 };
 
 /// Sends numbered datagrams from one socket and checks that one backend server answers them all.
--- a/standins/Fabric.cpp
+++ b/standins/Fabric.cpp
@@ -149,8 +149,8 @@
         auto failed = kj::newPromiseAndFulfiller<void>(); // one direction's failure ends both
         auto fulfiller = kj::heap(kj::mv(failed.fulfiller));
         const auto fail = [&end = **fulfiller](kj::Exception&&) { end.fulfill(); };
-        auto there = left.pumpTo(right).then([&right](std::uint64_t) { right.shutdownWrite(); }).catch_(fail);
-        auto back = right.pumpTo(left).then([&left](std::uint64_t) { left.shutdownWrite(); }).catch_(fail);
+        auto there = left.pumpTo(right).then([&right](std::uint64_t) { right.shutdownWrite(); }).eagerlyEvaluate(fail);
+        auto back = right.pumpTo(left).then([&left](std::uint64_t) { left.shutdownWrite(); }).eagerlyEvaluate(fail);
         return kj::joinPromises(kj::arr(kj::mv(there), kj::mv(back)))
             .exclusiveJoin(kj::mv(failed.promise))
             .attach(kj::mv(fulfiller), kj::mv(caller), kj::mv(balancer));
