--- a/src/control/Note.cpp
+++ b/src/control/Note.cpp
@@ -1,5 +1,6 @@
 #include "control/Note.h"
 
+#include "request/RequestPolicy.h"
 #include "settings/ObjectReader.h"
 
 #include <set>
@@ -45,11 +46,10 @@
     reader.integer("buckets", spec.buckets, minimumBuckets, maximumBuckets);
     reader.integer("idleSeconds", spec.idleSeconds, 1, maximumPeriodSeconds);
     reader.integer("withdrawSeconds", spec.withdrawSeconds, 0, maximumPeriodSeconds);
-    if (const auto* requests = reader.find("requests")) {
-        if (requests->is_object())
-            spec.requests = requests->dump();
-        else
-            reader.fault(FaultKind::WrongType, "requests", requests->type_name(), "an object");
+    if (reader.has("requests")) {
+        request::RequestPolicy policy;
+        reader.object("requests", [&policy](ObjectReader& inner) { request::readRequestPolicy(inner, policy); });
+        spec.requests = object["requests"].dump();
     }
     reader.finish();
 }
--- /dev/null
+++ b/src/request/RequestPolicy.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "settings/ObjectReader.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yuccahook::request {
+
+/// How a service wants its requests treated: the object `requests` of a service in a release note.
+struct RequestPolicy {
+    std::vector<std::string> nonIdempotentMethods { "POST", "PATCH" };
+    bool keyRequired = false; ///< Refuses a non-idempotent request without an Idempotency-Key.
+    std::uint64_t maximumBodyBytes = 1 << 20; ///< Largest request body that is buffered.
+    std::uint64_t maximumAnswerBytes = 1 << 20; ///< Largest answer to a non-idempotent request.
+    std::uint32_t deadlineMillis = 30'000; ///< From receipt to the end of the answer.
+    std::uint32_t retentionSeconds = 600; ///< How long a claim and its answer are kept after the outcome.
+    std::uint32_t maximumClaims = 10'000; ///< At each agent; at the bound new keys are refused as not run.
+
+    bool isIdempotent(std::string_view method) const;
+
+    bool operator==(const RequestPolicy&) const = default;
+};
+
+/// Reads the keys of a policy; keys that are absent keep the values of `policy`.
+void readRequestPolicy(settings::ObjectReader& reader, RequestPolicy& policy);
+
+/// The policy that ServiceSpec::requests holds; the defaults when it is empty. Release notes were checked before.
+RequestPolicy parseRequestPolicy(std::string_view text);
+
+} // namespace yuccahook::request
