Find streams whose other end has gone without a word

Cause: an agent kept the streams of a balancer that died while they were idle: nothing was sent, so no failed call told it. Ruled out: the RPC library's own notice of a lost connection, which reaches only calls in progress.

Change: the capability a relay hands out tells it when the last holder is gone; idle streams are probed every 10 s with an empty segment; trunk and caller connections have TCP keep-alive, which finds a host that vanished.

Conclusion: both ends notice; an agent abandons a stream 15 s after its trunk is lost unless a balancer resumes it.

--- a/src/net/StreamRelay.cpp
+++ b/src/net/StreamRelay.cpp
@@ -12,8 +12,11 @@
     explicit End(kj::Own<StreamRelay> relay)
         : m_relay(kj::mv(relay))
     {
+        ++m_relay->m_ends;
     }
 
+    ~End() noexcept(false) { m_relay->endDropped(); }
+
     kj::Promise<void> segment(SegmentContext context) override
     {
         const auto params = context.getParams();
@@ -139,12 +142,33 @@
             if (last && m_endWithLocal)
                 reset(flow::RefusalReason::None);
         })
-        .detach([this, self = kj::addRef(*this), attachment](kj::Exception&&) {
-            if (attachment != m_attachment || !m_attached)
-                return;
-            detach();
-            m_onDetached();
-        });
+        .detach([this, self = kj::addRef(*this), attachment](kj::Exception&&) { trunkLost(attachment); });
+}
+
+void StreamRelay::trunkLost(std::uint64_t attachment)
+{
+    if (attachment != m_attachment || !m_attached)
+        return;
+    detach();
+    m_onDetached();
+}
+
+// The other end lost all it had of this one: its process or the connection to it has ended.
+void StreamRelay::endDropped()
+{
+    if (--m_ends == 0)
+        trunkLost(m_attachment);
+}
+
+void StreamRelay::probe(kj::Timer& timer, kj::Duration timeout)
+{
+    KJ_IF_MAYBE (remote, m_remote) {
+        auto request = remote->segmentRequest();
+        request.setOffset(0);
+        const std::uint64_t attachment = m_attachment;
+        timer.timeoutAfter(timeout, request.send().ignoreResult())
+            .detach([this, self = kj::addRef(*this), attachment](kj::Exception&&) { trunkLost(attachment); });
+    }
 }
 
 void StreamRelay::acknowledged(std::uint64_t received, std::uint64_t attachment)
--- a/src/net/StreamRelay.h
+++ b/src/net/StreamRelay.h
@@ -32,6 +32,12 @@
     void detach();
     bool attached() const { return m_attached; }
 
+    /// Asks the other end for a sign of life; the trunk counts as lost when there is none within the timeout.
+    void probe(kj::Timer& timer, kj::Duration timeout);
+
+    /// Bytes carried either way so far; a stream for which this stands still is idle.
+    std::uint64_t carried() const { return m_read + m_received; }
+
     /// Bytes taken from the other end so far.
     std::uint64_t received() const { return m_received; }
 
@@ -67,6 +73,8 @@
     void checkDone();
     void finish();
     void close();
+    void endDropped();
+    void trunkLost(std::uint64_t attachment);
 
     /// Shared with writes in progress, which may end after the relay has.
     struct Local : kj::Refcounted {
@@ -96,6 +104,7 @@
     std::uint64_t m_received = 0;
     bool m_lastReceived = false;
     bool m_lastWritten = false;
+    int m_ends = 0; // capabilities that the other end may hold
     kj::ForkedPromise<void> m_writes;
     bool m_finished = false;
     kj::Promise<void> m_reading;
--- a/src/roles/AgentStreams.cpp
+++ b/src/roles/AgentStreams.cpp
@@ -13,6 +13,8 @@
 
 constexpr auto resumeTimeout = 15 * kj::SECONDS;
 constexpr auto backendTimeout = 2 * kj::SECONDS;
+constexpr auto probeInterval = 10 * kj::SECONDS;
+constexpr auto probeTimeout = 5 * kj::SECONDS;
 
 kj::Own<kj::NetworkAddress> networkAddress(kj::Network& network, const net::Address& address)
 {
@@ -108,6 +110,7 @@
     , m_counters(counters)
     , m_flows(flows)
 {
+    loop.spawn(probeIdle());
 }
 
 AgentStreams::~AgentStreams() = default;
@@ -187,6 +190,19 @@
     m_onChange();
 }
 
+// A balancer that vanished behind a connection that stays open is found by asking it for a sign of life.
+kj::Promise<void> AgentStreams::probeIdle()
+{
+    return m_loop.timer().afterDelay(probeInterval).then([this] {
+        for (auto& [id, stream] : m_streams) {
+            if (stream.relay->carried() == stream.carriedAtProbe)
+                stream.relay->probe(m_loop.timer(), probeTimeout);
+            stream.carriedAtProbe = stream.relay->carried();
+        }
+        return probeIdle();
+    });
+}
+
 kj::Promise<void> AgentStreams::abandonUnlessResumed(std::uint64_t id)
 {
     return m_loop.timer().afterDelay(resumeTimeout).then([this, id] {
--- a/src/roles/AgentStreams.h
+++ b/src/roles/AgentStreams.h
@@ -45,6 +45,7 @@
         flow::FlowKey key;
         kj::Own<net::StreamRelay> relay;
         kj::Own<request::HttpFront::Served> served; // of an HTTP service
+        std::uint64_t carriedAtProbe = 0; // bytes
     };
 
     flow::Time now() const;
@@ -53,6 +54,7 @@
     void finish(std::uint64_t id);
     void close(std::uint64_t id);
     kj::Promise<void> abandonUnlessResumed(std::uint64_t id);
+    kj::Promise<void> probeIdle();
 
     net::Loop& m_loop;
     observe::Counters& m_counters;
--- a/src/roles/AgentTraffic.cpp
+++ b/src/roles/AgentTraffic.cpp
@@ -1,5 +1,6 @@
 #include "roles/AgentTraffic.h"
 
+#include "net/KeepAlive.h"
 #include "observe/Log.h"
 
 #include <kj/debug.h>
@@ -58,7 +59,7 @@
     m_server = kj::heap<capnp::TwoPartyServer>(kj::heap<Node>(*this));
     m_receiver = networkAddress(loop.network(), settings.trunk)->listen();
     m_streams.onChange([this] { countFlows(); });
-    loop.spawn(m_server->listen(*m_receiver));
+    loop.spawn(acceptTrunks());
     loop.spawn(takeTrunk());
     loop.spawn(expireIdle());
 }
@@ -213,6 +214,15 @@
     m_trunk->queue(datagram.returnAddress, encoded);
 }
 
+kj::Promise<void> AgentTraffic::acceptTrunks()
+{
+    return m_receiver->accept().then([this](auto stream) {
+        net::enableKeepAlive(*stream);
+        m_server->accept(kj::mv(stream));
+        return acceptTrunks();
+    });
+}
+
 kj::Promise<void> AgentTraffic::expireIdle()
 {
     return m_loop.timer().afterDelay(expireInterval).then([this] {
--- a/src/roles/AgentTraffic.h
+++ b/src/roles/AgentTraffic.h
@@ -59,6 +59,7 @@
     kj::Promise<void> takeReplies(flow::FlowKey key, DatagramFlow& flow);
     void forward(std::uint32_t member, net::TrunkDatagram datagram);
     void refuse(const net::TrunkDatagram& datagram, flow::RefusalReason reason);
+    kj::Promise<void> acceptTrunks();
     kj::Promise<void> expireIdle();
     void countFlows();
 
--- a/src/roles/BalancerTraffic.cpp
+++ b/src/roles/BalancerTraffic.cpp
@@ -1,5 +1,6 @@
 #include "roles/BalancerTraffic.h"
 
+#include "net/KeepAlive.h"
 #include "net/OpenStatus.h"
 #include "observe/Log.h"
 
@@ -316,6 +317,7 @@
         refused(RefusalReason::TableFull);
         return;
     }
+    net::enableKeepAlive(*caller);
     sockaddr_storage socket {};
     unsigned length = sizeof(socket);
     caller->getpeername(reinterpret_cast<sockaddr*>(&socket), &length);
--- a/tests/net/StreamRelayTest.cpp
+++ b/tests/net/StreamRelayTest.cpp
@@ -22,9 +22,12 @@
         leftRelay->reset(flow::RefusalReason::None);
         rightRelay->reset(flow::RefusalReason::None);
         cut();
-        io.provider->getTimer().afterDelay(1 * kj::MILLISECONDS).wait(io.waitScope);
+        turn();
     }
 
+    // Lets everything that is ready happen.
+    void turn() { io.provider->getTimer().afterDelay(1 * kj::MILLISECONDS).wait(io.waitScope); }
+
     void join()
     {
         leftRelay->attach(rightRelay->end(), rightRelay->received());
@@ -72,6 +75,25 @@
         CHECK(relays.read(server, 9) == "while cut");
     }
 
+    SUBCASE("and finds at once that the other end has gone")
+    {
+        int lost = 0;
+        relays.leftRelay->onDetached([&lost] { ++lost; });
+        relays.rightRelay->detach(); // drops what the right end had of the left one
+        relays.turn();
+        CHECK(lost == 1);
+        CHECK_FALSE(relays.leftRelay->attached());
+    }
+
+    SUBCASE("and counts the trunk as lost when a probe is not answered")
+    {
+        auto silent = kj::newPromiseAndFulfiller<schema::StreamEnd::Client>();
+        relays.leftRelay->attach(schema::StreamEnd::Client(kj::mv(silent.promise)), relays.rightRelay->received());
+        relays.leftRelay->probe(relays.io.provider->getTimer(), 1 * kj::MILLISECONDS);
+        relays.io.provider->getTimer().afterDelay(50 * kj::MILLISECONDS).wait(relays.io.waitScope);
+        CHECK_FALSE(relays.leftRelay->attached());
+    }
+
     SUBCASE("each direction to its own end")
     {
         caller.shutdownWrite();
