Keep every established flow through changes of agents and balancers

Cause: an agent knew only the flows it held, so a change of bucket owner opened the flow a second time at the new owner.

Change: AgentFlows is the service's directory as well as the flow table. A bucket has one agent that decides for it; the owner at a newer revision claims it from every live agent and decides once the former owner has handed over, or once all have promised to open nothing for earlier owners and said what they hold. New flows go to the less loaded of two candidates. Until the handover has arrived, packets of unknown flows are asked of those who have not answered. Agents talk by FlowPeer RPC; datagrams carry the placement. Balancers keep a bounded cache of hints. Bucket tables are computed again only for services whose members changed. The datagram side of AgentTraffic is now AgentDatagrams, and the messages are in AgentPeers. Streams no longer lose their flow entry at the idle period of datagrams.

--- /dev/null
+++ b/bench/FlowAgentModel.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "flow/AgentFlows.h"
+
+#include <limits>
+#include <map>
+#include <memory>
+
+namespace yuccahook::bench {
+
+/// What an agent does with flows, so that the project's way and the naive one run in the same cluster.
+class FlowAgentModel {
+public:
+    virtual ~FlowAgentModel() = default;
+    virtual void setMembership(const flow::MembershipPointer& membership, std::uint32_t self) = 0;
+    virtual void drain() = 0;
+    virtual flow::Decision decide(const flow::Packet& packet, flow::Time now) = 0;
+    virtual std::vector<std::uint32_t> asked() const { return {}; }
+    virtual void close(const flow::FlowKey& key, flow::Time now) = 0;
+    virtual bool holds(const flow::FlowKey& key) const = 0;
+    virtual std::size_t size() const = 0;
+    virtual void receive(const flow::PeerMessage&, flow::Time) { }
+    virtual void tick(flow::Time) { }
+    virtual std::vector<flow::PeerMessage> takeMessages() { return {}; }
+    virtual flow::AgentFlows::Counts counts() const { return {}; }
+    virtual std::size_t bucketsWaiting() const { return 0; }
+};
+
+/// The project's own decisions.
+class OwnFlowAgent final : public FlowAgentModel {
+public:
+    void setMembership(const flow::MembershipPointer& membership, std::uint32_t self) override
+    {
+        m_flows.setMembership(membership, self);
+    }
+    void drain() override { m_flows.drain(); }
+    flow::Decision decide(const flow::Packet& packet, flow::Time now) override { return m_flows.decide(packet, now); }
+    std::vector<std::uint32_t> asked() const override { return { m_flows.asked().begin(), m_flows.asked().end() }; }
+    void close(const flow::FlowKey& key, flow::Time now) override { m_flows.close(key, now); }
+    bool holds(const flow::FlowKey& key) const override { return m_flows.holds(key); }
+    std::size_t size() const override { return m_flows.size(); }
+    void receive(const flow::PeerMessage& message, flow::Time now) override { m_flows.receive(message, now); }
+    void tick(flow::Time now) override { m_flows.tick(now); }
+    std::vector<flow::PeerMessage> takeMessages() override { return m_flows.takeMessages(); }
+    flow::AgentFlows::Counts counts() const override { return m_flows.counts(); }
+    std::size_t bucketsWaiting() const override { return m_flows.bucketsWaiting(); }
+
+private:
+    flow::AgentFlows m_flows { std::numeric_limits<std::uint32_t>::max() };
+};
+
+/// Takes whatever the balancers send: what a target behind hash-modulo routing does.
+class NaiveFlowAgent final : public FlowAgentModel {
+public:
+    void setMembership(const flow::MembershipPointer&, std::uint32_t) override { }
+    void drain() override { }
+    flow::Decision decide(const flow::Packet& packet, flow::Time now) override
+    {
+        const bool added = m_flows.emplace(packet.key, now).second;
+        return { added ? flow::Verdict::Open : flow::Verdict::Deliver, 0, flow::RefusalReason::None, {} };
+    }
+    void close(const flow::FlowKey& key, flow::Time) override { m_flows.erase(key); }
+    bool holds(const flow::FlowKey& key) const override { return m_flows.contains(key); }
+    std::size_t size() const override { return m_flows.size(); }
+
+private:
+    std::unordered_map<flow::FlowKey, flow::Time> m_flows;
+};
+
+} // namespace yuccahook::bench
--- a/schema/trunk.capnp
+++ b/schema/trunk.capnp
@@ -20,6 +20,10 @@
   returnHigh @11 :UInt64;
   returnLow @12 :UInt64;
   payload @13 :Data;
+  route @14 :UInt8;        # flow::Route
+  declinedBy @15 :UInt32;  # the member that will not open this placement, or 0
+  epoch @16 :UInt64;       # of the owner that placed the flow
+  placement @17 :UInt64;
 }
 
 interface StreamEnd {
@@ -39,11 +43,15 @@
   resume @6 :Bool;
   end @7 :StreamEnd;
   placed @8 :Bool;         # the addressee was named by the flow's owner: take it or refuse
+  epoch @9 :UInt64;        # of that owner
+  placement @10 :UInt64;
+  declinedBy @11 :UInt32;  # the member that will not open this placement, or 0
 }
 
 interface StreamTrunk {
-  open @0 (stream :OpenStream) -> (status :UInt8, reason :UInt8, member :UInt32, received :UInt64, end :StreamEnd);
-  # status is net::OpenStatus. A redirect names the member to ask next.
+  open @0 (stream :OpenStream) -> (status :UInt8, reason :UInt8, member :UInt32, received :UInt64, end :StreamEnd,
+    placed :Bool, epoch :UInt64, placement :UInt64, declinedBy :UInt32);
+  # status is net::OpenStatus. A redirect names the member to ask next, and what to tell it.
   ping @1 () -> (member :UInt32, revision :UInt64);
   finish @2 (stream :UInt64) -> ();
   # The balancer is about to leave: the agent ends the stream after the answer in progress, where it can tell.
@@ -51,7 +59,31 @@
 
 interface FlowPeer {
   # What agents of one service ask of each other about flows.
-  load @0 (from :UInt32, flows :UInt32, connections :UInt32) -> (flows :UInt32, connections :UInt32);
+  tell @0 (message :FlowMessage) -> ();
+}
+
+struct FlowMessage {
+  # flow::PeerMessage. Any may be lost, repeated or late.
+  struct Bucket {
+    bucket @0 :UInt32;
+    wasOwner @1 :Bool;
+    stale @2 :Bool;
+  }
+  struct Entry {
+    callerHigh @0 :UInt64;
+    callerLow @1 :UInt64;
+    callerPort @2 :UInt16;
+    holder @3 :UInt32;
+    placement @4 :UInt64;
+  }
+  kind @0 :UInt8;          # flow::PeerKind
+  full @1 :Bool;           # the sender takes no new flows
+  from @2 :UInt32;
+  to @3 :UInt32;
+  epoch @4 :UInt64;
+  flows @5 :UInt32;        # open at the sender
+  buckets @6 :List(Bucket);
+  entries @7 :List(Entry);
 }
 
 interface RequestPeer {
--- a/src/flow/AgentFlows.cpp
+++ b/src/flow/AgentFlows.cpp
@@ -1,12 +1,30 @@
 #include "flow/AgentFlows.h"
 
+#include <algorithm>
+#include <array>
+#include <iterator>
+
 namespace yuccahook::flow {
 
 namespace {
 
-constexpr std::uint8_t maximumHops = 4;
+constexpr std::uint8_t maximumHops = 8;
+constexpr Time retryInterval = std::chrono::milliseconds(200);
+/// Longer than a datagram may be under way.
+constexpr Time maximumPacketLifetime = std::chrono::seconds(5);
+constexpr std::uint32_t placementMemberShift = 32;
+
+Decision refuse(RefusalReason reason) { return { Verdict::Refuse, 0, reason, {} }; }
+
+Decision forward(std::uint32_t member, Routing routing)
+{
+    return { Verdict::Forward, member, RefusalReason::None, routing };
+}
 
-Decision refuse(RefusalReason reason) { return { Verdict::Refuse, 0, reason }; }
+bool contains(const std::vector<std::uint32_t>& members, std::uint32_t member)
+{
+    return std::find(members.begin(), members.end(), member) != members.end();
+}
 
 } // namespace
 
@@ -17,52 +35,508 @@
 
 void AgentFlows::setMembership(MembershipPointer membership, std::uint32_t self)
 {
-    m_map = std::make_unique<BucketMap>(std::move(membership));
-    m_self = self;
+    m_map = std::make_unique<BucketMap>(std::move(membership), m_map.get());
+    const Member* member = m_map->membership().member(self);
+    const ServiceSpec* service = member ? m_map->membership().service(member->service) : nullptr;
+    const bool known = service && member->state != MemberState::Lost;
+    if (service && (service->id != m_service || m_buckets.size() != service->buckets))
+        restart(*service);
+    if (!known || self != m_self)
+        loseAuthority();
+    m_self = service ? self : 0;
+    m_peers = livePeers(m_service, false);
+    m_placeable = livePeers(m_service, true);
+    dropDeadHolders();
+    if (known)
+        claimBuckets();
+}
+
+void AgentFlows::restart(const ServiceSpec& service)
+{
+    m_flows.clear();
+    m_directory.clear();
+    m_closing.clear();
+    m_open = 0;
+    m_service = service.id;
+    m_buckets.assign(service.buckets, {});
+    m_peers.clear();
+}
+
+// What was promised to others under an earlier id still holds, and open flows stay.
+void AgentFlows::loseAuthority()
+{
+    for (auto& bucket : m_buckets) {
+        bucket.authority = false;
+        bucket.claiming = false;
+        bucket.releasedEpoch = 0;
+        bucket.takenBy = 0;
+        bucket.pending.clear();
+    }
+    m_directory.clear();
+}
+
+std::vector<std::uint32_t> AgentFlows::livePeers(std::uint32_t service, bool readyOnly) const
+{
+    std::vector<std::uint32_t> peers;
+    for (const auto& member : m_map->membership().members) {
+        const bool live = readyOnly ? member.state == MemberState::Ready : member.state != MemberState::Lost;
+        if (member.service == service && member.id != m_self && live)
+            peers.push_back(member.id);
+    }
+    return peers;
+}
+
+void AgentFlows::dropDeadHolders()
+{
+    std::erase_if(m_directory, [this](const auto& entry) { return !contains(m_peers, entry.second.holder); });
+    std::erase_if(m_loads, [this](const auto& entry) { return !contains(m_peers, entry.first); });
+}
+
+void AgentFlows::claimBuckets()
+{
+    std::vector<std::uint32_t> newcomers;
+    std::copy_if(m_peers.begin(), m_peers.end(), std::back_inserter(newcomers),
+        [this](std::uint32_t peer) { return !contains(m_askedPeers, peer); });
+    m_askedPeers = m_peers;
+    std::vector<bool> restarted(m_buckets.size());
+    for (std::uint32_t index = 0; index < m_buckets.size(); ++index) {
+        Bucket& bucket = m_buckets[index];
+        const Member* owner = m_map->ownerOf(m_service, index);
+        if (!owner || owner->id != m_self || bucket.promised > m_map->revision()) {
+            bucket.claiming = false;
+            bucket.pending.clear();
+            continue;
+        }
+        bucket.epoch = bucket.promised = m_map->revision();
+        if (bucket.authority) {
+            // One that comes back after it was given up may hold flows.
+            std::erase_if(bucket.pending, [this](std::uint32_t peer) { return !contains(m_peers, peer); });
+            bucket.pending.insert(bucket.pending.end(), newcomers.begin(), newcomers.end());
+            continue;
+        }
+        bucket.claiming = true;
+        bucket.releasedEpoch = 0;
+        bucket.takenBy = 0;
+        bucket.pending = m_peers;
+        restarted[index] = true;
+    }
+    eraseDirectory(restarted);
+    for (std::uint32_t index = 0; index < m_buckets.size(); ++index) {
+        if (m_buckets[index].claiming && m_peers.empty())
+            gainAuthority(index, true);
+    }
+    sendClaims(m_lastRetry);
+}
+
+void AgentFlows::eraseDirectory(const std::vector<bool>& buckets)
+{
+    std::erase_if(m_directory, [&](const auto& entry) { return buckets[bucketOf(entry.first)]; });
+}
+
+void AgentFlows::sendClaims(Time now)
+{
+    m_lastRetry = now;
+    std::unordered_map<std::uint32_t, PeerMessage> claims;
+    for (std::uint32_t index = 0; index < m_buckets.size(); ++index) {
+        const Bucket& bucket = m_buckets[index];
+        for (const std::uint32_t member : bucket.pending) {
+            auto [found, added] = claims.try_emplace(member);
+            if (added)
+                found->second = messageTo(member, PeerKind::Claim, bucket.epoch);
+            found->second.buckets.push_back({ index, false, false });
+        }
+    }
+    for (auto& [member, claim] : claims)
+        m_messages.push_back(std::move(claim));
 }
 
 Decision AgentFlows::decide(const Packet& packet, Time now)
 {
-    if (const auto found = m_flows.find(packet.key); found != m_flows.end()) {
+    const auto found = m_flows.find(packet.key);
+    if (found != m_flows.end() && !found->second.closing) {
         found->second.lastSeen = now;
-        return { Verdict::Deliver, m_self, RefusalReason::None };
+        return { Verdict::Deliver, m_self, RefusalReason::None, {} };
     }
-    const Member* self = m_map ? m_map->membership().member(m_self) : nullptr;
-    if (!self)
-        return refuse(RefusalReason::UnknownMember);
-    if (self->service != packet.key.service)
+    if (packet.hops >= maximumHops)
+        return refuse(RefusalReason::TooManyHops);
+    if (m_self == 0)
+        return decideWithoutId(packet);
+    if (m_service != packet.key.service)
         return refuse(RefusalReason::WrongService);
-    const Member* owner = m_map->ownerOf(packet.key);
-    if (owner && owner->id != m_self) {
-        if (packet.hops >= maximumHops)
-            return refuse(RefusalReason::TooManyHops);
-        return { Verdict::Forward, owner->id, RefusalReason::None };
-    }
-    const ServiceSpec* service = m_map->membership().service(packet.key.service);
+    Bucket& bucket = m_buckets[bucketOf(packet.key)];
+    if (bucket.authority)
+        return decideAsOwner(packet, bucket, now);
+    if (packet.routing.route == Route::Placed && packet.routing.epoch >= bucket.promised)
+        return decidePlaced(packet, now);
+    return find(packet, bucket);
+}
+
+// Others may know this agent's id before it does: the agents that it knows of include the former owner.
+Decision AgentFlows::decideWithoutId(const Packet& packet)
+{
+    m_asked.clear();
+    if (m_map && packet.routing.route == Route::Owner)
+        m_asked = livePeers(packet.key.service, false);
+    if (m_asked.empty())
+        return refuse(RefusalReason::UnknownMember);
+    Routing routing = packet.routing;
+    routing.route = Route::Probe;
+    return { Verdict::Ask, 0, RefusalReason::None, routing };
+}
+
+Decision AgentFlows::decideAsOwner(const Packet& packet, Bucket& bucket, Time now)
+{
+    const auto found = m_directory.find(packet.key);
+    if (found == m_directory.end())
+        return place(packet, bucket, now);
+    const Routing& routing = packet.routing;
+    const bool declined = routing.declinedBy == found->second.holder && routing.placement == found->second.placement;
+    if (!declined)
+        return forward(found->second.holder, { Route::Placed, bucket.epoch, found->second.placement, 0 });
+    m_directory.erase(found);
+    return place(packet, bucket, now);
+}
+
+Decision AgentFlows::place(const Packet& packet, const Bucket& bucket, Time now)
+{
+    const ServiceSpec* service = m_map->membership().service(m_service);
     if (!service || service->withdrawn)
         return refuse(RefusalReason::Withdrawn);
-    if (m_draining)
-        return refuse(RefusalReason::Draining);
-    if (m_flows.size() >= m_maximumFlows)
-        return refuse(RefusalReason::TableFull);
-    m_flows.emplace(packet.key, Entry { now });
-    return { Verdict::Open, m_self, RefusalReason::None };
+    const std::uint32_t other = secondCandidate(packet.key, packet.routing.declinedBy);
+    const std::uint64_t placement = std::uint64_t { m_self } << placementMemberShift | ++m_placements;
+    const bool otherTakes = other != 0 && !m_loads[other].full;
+    if (!full() && (!otherTakes || relativeLoad(m_self) <= relativeLoad(other)))
+        return open(packet, placement, now);
+    if (!otherTakes)
+        return refuse(m_draining ? RefusalReason::Draining : RefusalReason::TableFull);
+    m_directory[packet.key] = { other, placement };
+    m_loads[other].flows += 1;
+    ++m_counts.placedOnPeers;
+    return forward(other, { Route::Placed, bucket.epoch, placement, 0 });
+}
+
+std::uint32_t AgentFlows::secondCandidate(const FlowKey& key, std::uint32_t excluded) const
+{
+    if (m_placeable.empty())
+        return 0;
+    // The bucket takes the hash's remainder, so its upper half is independent of the owner.
+    const std::size_t rank = (hashOf(key) >> 32) % m_placeable.size();
+    if (m_placeable[rank] != excluded)
+        return m_placeable[rank];
+    const std::uint32_t next = m_placeable[(rank + 1) % m_placeable.size()];
+    return next != excluded ? next : 0;
+}
+
+double AgentFlows::relativeLoad(std::uint32_t id) const
+{
+    const Member* member = m_map->membership().member(id);
+    const auto heard = m_loads.find(id);
+    const double heardFlows = heard != m_loads.end() ? heard->second.flows : 0;
+    const double flows = id == m_self ? static_cast<double>(m_open) : heardFlows;
+    return flows / std::max(1U, member->weight);
+}
+
+Decision AgentFlows::decidePlaced(const Packet& packet, Time now)
+{
+    const auto found = m_flows.find(packet.key);
+    const bool closed = found != m_flows.end() && found->second.placement == packet.routing.placement;
+    if (!closed && !m_draining) {
+        if (m_open >= m_maximumFlows)
+            return refuse(RefusalReason::TableFull);
+        return open(packet, packet.routing.placement, now);
+    }
+    const Member* owner = m_map->ownerOf(packet.key);
+    if (!owner || owner->id == m_self)
+        return refuse(RefusalReason::OwnerChanging);
+    ++m_counts.declined;
+    return forward(owner->id, { Route::Owner, packet.routing.epoch, packet.routing.placement, m_self });
+}
+
+// This agent does not decide for the bucket: passes the packet on to where the flow may be known.
+Decision AgentFlows::find(const Packet& packet, const Bucket& bucket)
+{
+    if (const auto known = m_directory.find(packet.key); known != m_directory.end())
+        return forward(known->second.holder, { Route::Probe, 0, 0, 0 });
+    const bool probe = packet.routing.route == Route::Probe || packet.routing.route == Route::Relay;
+    if (probe && bucket.takenBy != 0)
+        return forward(bucket.takenBy, { Route::Probe, 0, 0, 0 }); // asked before the handover arrived
+    const bool relays = packet.routing.route == Route::Relay && packet.revision < m_map->revision();
+    if (probe && !relays)
+        return { Verdict::Drop, 0, RefusalReason::OwnerChanging, {} };
+    const Member* owner = m_map->ownerOf(packet.key);
+    if (!owner)
+        return refuse(RefusalReason::NoMember);
+    const bool sentByNewerRevision = packet.revision > m_map->revision();
+    if (owner->id != m_self && !sentByNewerRevision) {
+        Routing routing = packet.routing;
+        routing.route = Route::Owner;
+        return forward(owner->id, routing);
+    }
+    m_asked = bucket.claiming ? bucket.pending : m_peers;
+    if (m_asked.empty())
+        return refuse(RefusalReason::OwnerChanging);
+    Routing routing = packet.routing;
+    routing.route = Route::Relay;
+    return { Verdict::Ask, 0, RefusalReason::None, routing };
+}
+
+Decision AgentFlows::open(const Packet& packet, std::uint64_t placement, Time now)
+{
+    m_flows.insert_or_assign(packet.key, Entry { now, placement });
+    ++m_open;
+    ++m_counts.opened;
+    return { Verdict::Open, m_self, RefusalReason::None, {} };
+}
+
+bool AgentFlows::holds(const FlowKey& key) const
+{
+    const auto found = m_flows.find(key);
+    return found != m_flows.end() && !found->second.closing;
+}
+
+void AgentFlows::close(const FlowKey& key, Time now)
+{
+    if (const auto found = m_flows.find(key); found != m_flows.end() && !found->second.closing)
+        beginClosing(key, found->second, now);
 }
 
-void AgentFlows::close(const FlowKey& key) { m_flows.erase(key); }
+void AgentFlows::beginClosing(const FlowKey& key, Entry& entry, Time now)
+{
+    entry.closing = true;
+    entry.lastSeen = now;
+    entry.closeTaken = m_buckets[bucketOf(key)].authority;
+    m_closing.push_back(key);
+    --m_open;
+}
 
 std::vector<FlowKey> AgentFlows::expire(Time now)
 {
     std::vector<FlowKey> expired;
-    for (const auto& [key, entry] : m_flows) {
-        const ServiceSpec* service = m_map ? m_map->membership().service(key.service) : nullptr;
-        const Time idle = std::chrono::seconds(service ? service->idleSeconds : 0);
-        if (now - entry.lastSeen >= idle)
-            expired.push_back(key);
+    const ServiceSpec* service = m_map ? m_map->membership().service(m_service) : nullptr;
+    if (!service || service->protocol != Protocol::Datagram)
+        return expired; // a stream says itself when it ends
+    const Time idle = std::chrono::seconds(service->idleSeconds);
+    for (auto& [key, entry] : m_flows) {
+        if (entry.closing || now - entry.lastSeen < idle)
+            continue;
+        expired.push_back(key);
+        beginClosing(key, entry, now);
     }
-    for (const auto& key : expired)
-        m_flows.erase(key);
     return expired;
 }
 
+std::size_t AgentFlows::bucketsWaiting() const
+{
+    return std::count_if(m_buckets.begin(), m_buckets.end(), [](const Bucket& bucket) { return bucket.claiming; });
+}
+
+PeerMessage AgentFlows::messageTo(std::uint32_t member, PeerKind kind, std::uint64_t epoch) const
+{
+    PeerMessage message;
+    message.kind = kind;
+    message.from = m_self;
+    message.to = member;
+    message.epoch = epoch;
+    return message;
+}
+
+void AgentFlows::receive(const PeerMessage& message, Time)
+{
+    if (m_self == 0 || message.to != m_self)
+        return;
+    static constexpr std::array<void (AgentFlows::*)(const PeerMessage&), 6> handlers { &AgentFlows::takeClaim,
+        &AgentFlows::takeHandover, &AgentFlows::takeHandoverTaken, &AgentFlows::takeClosed,
+        &AgentFlows::takeClosedTaken, &AgentFlows::takeLoad };
+    const auto index = static_cast<std::size_t>(message.kind);
+    if (index < handlers.size())
+        (this->*handlers[index])(message);
+}
+
+void AgentFlows::takeClaim(const PeerMessage& message)
+{
+    PeerMessage answer = messageTo(message.from, PeerKind::Handover, message.epoch);
+    std::vector<bool> heldWanted(m_buckets.size());
+    std::vector<bool> directoryWanted(m_buckets.size());
+    std::vector<bool> outdated(m_buckets.size());
+    for (const auto& claimed : message.buckets) {
+        if (claimed.bucket >= m_buckets.size())
+            continue;
+        Bucket& bucket = m_buckets[claimed.bucket];
+        const bool repeated = bucket.releasedEpoch == message.epoch && bucket.promised == message.epoch;
+        if (message.epoch < bucket.promised || (message.epoch == bucket.promised && bucket.claiming)) {
+            answer.buckets.push_back({ claimed.bucket, false, true });
+            continue;
+        }
+        if (bucket.authority)
+            bucket.releasedEpoch = message.epoch;
+        if (bucket.promised != message.epoch)
+            bucket.takenBy = 0;
+        const bool wasOwner = bucket.authority || repeated;
+        outdated[claimed.bucket] = !wasOwner;
+        bucket.authority = false;
+        bucket.claiming = false;
+        bucket.pending.clear();
+        bucket.promised = message.epoch;
+        heldWanted[claimed.bucket] = true;
+        directoryWanted[claimed.bucket] = wasOwner;
+        answer.buckets.push_back({ claimed.bucket, wasOwner, false });
+    }
+    eraseDirectory(outdated);
+    for (const auto& [key, entry] : m_flows) {
+        if (!entry.closing && heldWanted[bucketOf(key)])
+            answer.entries.push_back({ key.caller, m_self, entry.placement });
+    }
+    for (const auto& [key, redirect] : m_directory) {
+        if (directoryWanted[bucketOf(key)])
+            answer.entries.push_back({ key.caller, redirect.holder, redirect.placement });
+    }
+    m_messages.push_back(std::move(answer));
+}
+
+void AgentFlows::takeHandover(const PeerMessage& message)
+{
+    std::vector<bool> taken(m_buckets.size());
+    std::vector<bool> superseded(m_buckets.size());
+    PeerMessage answer = messageTo(message.from, PeerKind::HandoverTaken, message.epoch);
+    for (const auto& state : message.buckets) {
+        if (state.bucket >= m_buckets.size())
+            continue;
+        Bucket& bucket = m_buckets[state.bucket];
+        if (bucket.epoch == message.epoch && bucket.authority && state.wasOwner)
+            answer.buckets.push_back(state); // the first acknowledgement was lost
+        const bool awaited = contains(bucket.pending, message.from) && bucket.epoch == message.epoch && !state.stale;
+        if (!awaited)
+            continue;
+        taken[state.bucket] = true;
+        std::erase(bucket.pending, message.from);
+        if (state.wasOwner)
+            answer.buckets.push_back(state);
+        if (!bucket.claiming)
+            continue;
+        superseded[state.bucket] = state.wasOwner;
+        if (state.wasOwner || bucket.pending.empty())
+            gainAuthority(state.bucket, !state.wasOwner);
+    }
+    // The former owner knows better than answers that others gave before it stopped.
+    eraseDirectory(superseded);
+    for (const auto& entry : message.entries)
+        learn(entry, taken);
+    if (!answer.buckets.empty())
+        m_messages.push_back(std::move(answer));
+}
+
+void AgentFlows::learn(const DirectoryEntry& entry, const std::vector<bool>& buckets)
+{
+    const FlowKey key = keyOf(entry.caller);
+    if (!buckets[bucketOf(key)] || !contains(m_peers, entry.holder))
+        return;
+    const auto [found, added] = m_directory.try_emplace(key, Redirect { entry.holder, entry.placement });
+    if (holds(key) || (!added && found->second.holder != entry.holder))
+        ++m_counts.conflicts;
+}
+
+void AgentFlows::gainAuthority(std::uint32_t index, bool recovered)
+{
+    Bucket& bucket = m_buckets[index];
+    bucket.authority = true;
+    bucket.claiming = false;
+    bucket.pending.clear();
+    ++(recovered ? m_counts.bucketsRecovered : m_counts.bucketsTaken);
+}
+
+void AgentFlows::takeHandoverTaken(const PeerMessage& message)
+{
+    std::vector<bool> handedOver(m_buckets.size());
+    for (const auto& state : message.buckets) {
+        if (state.bucket >= m_buckets.size())
+            continue;
+        Bucket& bucket = m_buckets[state.bucket];
+        const bool current = bucket.releasedEpoch == message.epoch && !bucket.authority && !bucket.claiming;
+        if (!current)
+            continue;
+        handedOver[state.bucket] = true;
+        bucket.releasedEpoch = 0;
+        bucket.takenBy = message.from;
+    }
+    eraseDirectory(handedOver);
+}
+
+void AgentFlows::takeClosed(const PeerMessage& message)
+{
+    PeerMessage answer = messageTo(message.from, PeerKind::ClosedTaken, message.epoch);
+    for (const auto& entry : message.entries) {
+        const FlowKey key = keyOf(entry.caller);
+        if (!m_buckets[bucketOf(key)].authority)
+            continue; // the holder repeats it until the owner has taken it
+        const auto found = m_directory.find(key);
+        if (found != m_directory.end() && found->second.placement == entry.placement)
+            m_directory.erase(found);
+        answer.entries.push_back(entry);
+    }
+    if (!answer.entries.empty())
+        m_messages.push_back(std::move(answer));
+}
+
+void AgentFlows::takeClosedTaken(const PeerMessage& message)
+{
+    for (const auto& entry : message.entries) {
+        const auto found = m_flows.find(keyOf(entry.caller));
+        if (found != m_flows.end() && found->second.closing && found->second.placement == entry.placement)
+            found->second.closeTaken = true;
+    }
+}
+
+void AgentFlows::takeLoad(const PeerMessage& message)
+{
+    m_loads[message.from] = { static_cast<double>(message.flows), message.full };
+}
+
+void AgentFlows::tick(Time now)
+{
+    if (m_self == 0)
+        return;
+    if (now - m_lastLoad >= loadInterval) {
+        m_lastLoad = now;
+        for (const std::uint32_t peer : m_peers) {
+            PeerMessage load = messageTo(peer, PeerKind::Load, m_map->revision());
+            load.flows = m_open;
+            load.full = full();
+            m_messages.push_back(std::move(load));
+        }
+    }
+    if (now - m_lastRetry < retryInterval)
+        return;
+    sendClaims(now);
+    std::unordered_map<std::uint32_t, PeerMessage> closed;
+    std::erase_if(m_closing, [&](const FlowKey& key) {
+        const auto found = m_flows.find(key);
+        if (found == m_flows.end() || !found->second.closing)
+            return true; // opened again under another placement
+        Entry& entry = found->second;
+        const Member* owner = m_map->ownerOf(key);
+        if (m_buckets[bucketOf(key)].authority || !owner)
+            entry.closeTaken = true;
+        if (entry.closeTaken && now - entry.lastSeen >= maximumPacketLifetime) {
+            m_flows.erase(found);
+            return true;
+        }
+        if (!entry.closeTaken && owner->id != m_self) {
+            auto [message, added] = closed.try_emplace(owner->id);
+            if (added)
+                message->second = messageTo(owner->id, PeerKind::Closed, m_map->revision());
+            message->second.entries.push_back({ key.caller, m_self, entry.placement });
+        }
+        return false;
+    });
+    for (auto& [member, message] : closed)
+        m_messages.push_back(std::move(message));
+}
+
+std::vector<PeerMessage> AgentFlows::takeMessages()
+{
+    std::vector<PeerMessage> messages;
+    messages.swap(m_messages);
+    return messages;
+}
+
 } // namespace yuccahook::flow
--- a/src/flow/RefusalReason.h
+++ b/src/flow/RefusalReason.h
@@ -20,13 +20,14 @@
     TooManyHops,
     BackendUnreachable,
     TrunkLost,
-    Withdrawn
+    Withdrawn,
+    OwnerChanging ///< Retry: the bucket is moving to another agent.
 };
 
 } // namespace yuccahook::flow
 
 template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::RefusalReason> {
-    static constexpr std::array<std::string_view, 12> names { "none", "unknown-service", "wrong-service", "no-member",
+    static constexpr std::array<std::string_view, 13> names { "none", "unknown-service", "wrong-service", "no-member",
         "draining", "table-full", "unknown-flow", "unknown-member", "too-many-hops", "backend-unreachable",
-        "trunk-lost", "withdrawn" };
+        "trunk-lost", "withdrawn", "owner-changing" };
 };
--- a/src/net/TrunkDatagram.cpp
+++ b/src/net/TrunkDatagram.cpp
@@ -30,6 +30,10 @@
     builder.setReturnHigh(datagram.returnAddress.high);
     builder.setReturnLow(datagram.returnAddress.low);
     builder.setReturnPort(datagram.returnAddress.port);
+    builder.setRoute(static_cast<std::uint8_t>(datagram.routing.route));
+    builder.setDeclinedBy(datagram.routing.declinedBy);
+    builder.setEpoch(datagram.routing.epoch);
+    builder.setPlacement(datagram.routing.placement);
     builder.setPayload(kj::arrayPtr(datagram.payload.data(), datagram.payload.size()));
     const auto segment = message.getSegmentsForOutput()[0].asBytes();
     std::memcpy(m_encoded.data(), segment.begin(), segment.size());
@@ -55,6 +59,8 @@
         read.revision = reader.getRevision();
         read.key = { { reader.getCallerHigh(), reader.getCallerLow(), reader.getCallerPort() }, reader.getService() };
         read.returnAddress = { reader.getReturnHigh(), reader.getReturnLow(), reader.getReturnPort() };
+        read.routing = { static_cast<flow::Route>(reader.getRoute()), reader.getEpoch(), reader.getPlacement(),
+            reader.getDeclinedBy() };
         const auto payload = reader.getPayload();
         read.payload = { payload.begin(), payload.size() };
         datagram = read;
--- a/src/net/TrunkDatagram.h
+++ b/src/net/TrunkDatagram.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flow/FlowKey.h"
+#include "flow/Packet.h"
 #include "flow/PacketHint.h"
 #include "flow/RefusalReason.h"
 #include "kernel/EnumNames.h"
@@ -24,6 +25,7 @@
     std::uint32_t member = 0; ///< Whom a forward is for; who holds the flow in a reply.
     std::uint64_t revision = 0;
     flow::FlowKey key;
+    flow::Routing routing;
     Address returnAddress; ///< Where the balancer takes replies; unset: the datagram's source.
     Bytes payload;
 };
--- /dev/null
+++ b/src/roles/AgentPeers.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "flow/AgentFlows.h"
+#include "net/LoopThread.h"
+#include "net/TrunkPool.h"
+#include "observe/Counters.h"
+#include "trunk.capnp.h"
+
+namespace yuccahook::roles {
+
+/// Carries the messages of the flow directory between the agents of a service. A message that cannot be sent is
+/// dropped: the directory repeats what matters.
+class AgentPeers {
+public:
+    AgentPeers(net::Loop& loop, observe::Counters& counters, flow::AgentFlows& flows);
+    AgentPeers(const AgentPeers&) = delete;
+    AgentPeers& operator=(const AgentPeers&) = delete;
+
+    /// The capability that other agents use; this object must outlive its connections.
+    schema::FlowPeer::Client peer();
+
+    /// Sends what the directory has to say after a change of membership.
+    void setMembership(flow::MembershipPointer membership);
+
+private:
+    class Server;
+    friend class Server;
+
+    flow::Time now() const;
+    kj::Promise<void> tick();
+    void flush();
+    void send(const flow::PeerMessage& message);
+    void publishCounts();
+
+    net::Loop& m_loop;
+    flow::AgentFlows& m_flows;
+    flow::MembershipPointer m_membership;
+    net::TrunkPool m_pool;
+    std::size_t m_inFlight = 0;
+    observe::Counter& m_sent;
+    observe::Counter& m_failed;
+    observe::Counter& m_opened;
+    observe::Counter& m_placed;
+    observe::Counter& m_declined;
+    observe::Counter& m_bucketsTaken;
+    observe::Counter& m_bucketsRecovered;
+    observe::Counter& m_bucketsWaiting;
+    observe::Counter& m_conflicts;
+    observe::Counter& m_directoryEntries;
+};
+
+} // namespace yuccahook::roles
--- a/src/roles/AgentStreams.cpp
+++ b/src/roles/AgentStreams.cpp
@@ -44,7 +44,9 @@
             return refuse(context, RefusalReason::UnknownFlow);
         if (stream.getMember() != m_streams.m_member)
             return refuse(context, RefusalReason::UnknownMember);
-        const flow::Packet packet { key, flow::PacketHint::Start, 0, stream.getRevision(), 0 };
+        const flow::Route route = stream.getPlaced() ? flow::Route::Placed : flow::Route::Owner;
+        const flow::Packet packet { key, flow::PacketHint::Start, 0, stream.getRevision(), 0,
+            { route, stream.getEpoch(), stream.getPlacement(), stream.getDeclinedBy() } };
         const auto decision = m_streams.m_flows.decide(packet, m_streams.now());
         switch (decision.verdict) {
         case Verdict::Deliver:
@@ -55,13 +57,20 @@
                     return kj::Promise<void>(kj::READY_NOW);
                 },
                 [this, context, key](kj::Exception&&) mutable {
-                    m_streams.m_flows.close(key);
+                    m_streams.m_flows.close(key, m_streams.now());
                     return refuse(context, RefusalReason::BackendUnreachable);
                 });
         case Verdict::Forward:
             context.getResults().setStatus(static_cast<std::uint8_t>(net::OpenStatus::Redirect));
             context.getResults().setMember(decision.member);
+            context.getResults().setPlaced(decision.routing.route == flow::Route::Placed);
+            context.getResults().setEpoch(decision.routing.epoch);
+            context.getResults().setPlacement(decision.routing.placement);
+            context.getResults().setDeclinedBy(decision.routing.declinedBy);
             return kj::READY_NOW;
+        case Verdict::Ask:
+        case Verdict::Drop:
+            return refuse(context, RefusalReason::OwnerChanging); // the balancer asks again
         case Verdict::Refuse:
             break;
         }
@@ -182,7 +191,7 @@
     const auto found = m_streams.find(id);
     if (found == m_streams.end())
         return;
-    m_flows.close(found->second.key);
+    m_flows.close(found->second.key, now());
     m_streams.erase(found);
     m_onChange();
 }
--- a/src/roles/AgentTraffic.h
+++ b/src/roles/AgentTraffic.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "flow/AgentFlows.h"
-#include "net/DatagramSocket.h"
 #include "net/LoopThread.h"
-#include "net/TrunkDatagram.h"
 #include "observe/Counters.h"
+#include "roles/AgentDatagrams.h"
+#include "roles/AgentPeers.h"
 #include "roles/AgentStreams.h"
 #include "settings/Settings.h"
 
@@ -12,9 +12,7 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 #include <memory>
-#include <optional>
 #include <string>
-#include <unordered_map>
 
 namespace yuccahook::roles {
 
@@ -42,24 +40,8 @@
     class Node;
     friend class Node;
 
-    /// A datagram flow open here: its own socket, so that the backend server tells callers apart.
-    struct DatagramFlow {
-        std::unique_ptr<net::DatagramSocket> socket;
-        kj::Own<kj::UnixEventPort::FdObserver> observer;
-        net::Address balancer; ///< Who sent the last packet, and takes the replies.
-        kj::Promise<void> replies = nullptr;
-    };
-
     void applyMembership();
     std::uint32_t findSelf() const;
-    flow::Time now() const;
-    kj::Promise<void> takeTrunk();
-    void fromTrunk(const net::Address& source, net::TrunkDatagram datagram);
-    void openDatagramFlow(const net::TrunkDatagram& datagram);
-    kj::Promise<void> takeReplies(flow::FlowKey key, DatagramFlow& flow);
-    void forward(std::uint32_t member, net::TrunkDatagram datagram);
-    void refuse(const net::TrunkDatagram& datagram, flow::RefusalReason reason);
-    kj::Promise<void> expireIdle();
     void countFlows();
 
     const std::string m_name;
@@ -69,14 +51,11 @@
     std::atomic<std::uint64_t>& m_openFlows;
     flow::AgentFlows m_flows;
     AgentStreams m_streams;
+    AgentDatagrams m_datagrams;
+    AgentPeers m_peers;
     flow::MembershipPointer m_membership;
     std::uint64_t m_incarnation = 0;
     std::uint32_t m_member = 0; // 0 before it has joined
-    std::optional<net::Address> m_backend;
-    std::unique_ptr<net::DatagramSocket> m_trunk;
-    kj::Own<kj::UnixEventPort::FdObserver> m_trunkObserver;
-    net::TrunkBuffer m_buffer;
-    std::unordered_map<flow::FlowKey, std::unique_ptr<DatagramFlow>> m_datagramFlows;
     kj::Own<capnp::TwoPartyServer> m_server;
     kj::Own<kj::ConnectionReceiver> m_receiver;
 };
--- a/src/roles/BalancerTraffic.cpp
+++ b/src/roles/BalancerTraffic.cpp
@@ -13,6 +13,7 @@
 
 constexpr auto openTimeout = 2 * kj::SECONDS;
 constexpr auto openRetryDelay = 100 * kj::MILLISECONDS;
+constexpr std::size_t hintSlots = 1 << 17;
 constexpr int maximumOpenAttempts = 50;
 
 std::uint64_t randomSeed()
@@ -105,7 +106,10 @@
         net::writeEndpoint(builder.initCaller(), m_key.caller);
         builder.setReceived(m_relay->received());
         builder.setResume(m_member != nullptr);
-        builder.setPlaced(m_placed);
+        builder.setPlaced(m_routing.route == flow::Route::Placed);
+        builder.setEpoch(m_routing.epoch);
+        builder.setPlacement(m_routing.placement);
+        builder.setDeclinedBy(m_routing.declinedBy);
         builder.setEnd(m_relay->end());
     }
 
@@ -120,13 +124,15 @@
         case net::OpenStatus::Redirect:
             if (++m_attempts > maximumOpenAttempts)
                 return refuse(RefusalReason::TooManyHops);
-            m_placed = true;
+            m_routing = { response.getPlaced() ? flow::Route::Placed : flow::Route::Owner, response.getEpoch(),
+                response.getPlacement(), response.getDeclinedBy() };
             return open(kj::Maybe<std::uint32_t>(response.getMember()));
         case net::OpenStatus::Refused:
             break;
         }
         const auto reason = static_cast<RefusalReason>(response.getReason());
-        if (reason == RefusalReason::UnknownMember && m_member == nullptr)
+        const bool passing = reason == RefusalReason::UnknownMember || reason == RefusalReason::OwnerChanging;
+        if (passing && m_member == nullptr)
             return retry(); // the agent or this balancer is about to learn of a newer revision
         return refuse(reason);
     }
@@ -136,7 +142,7 @@
     {
         if (++m_attempts > maximumOpenAttempts)
             return refuse(RefusalReason::TrunkLost);
-        m_placed = m_placed && m_member != nullptr;
+        m_routing = {};
         return m_traffic.m_loop.timer().afterDelay(openRetryDelay).then([this] { return open(m_member); });
     }
 
@@ -152,7 +158,7 @@
     const flow::FlowKey m_key;
     kj::Own<net::StreamRelay> m_relay;
     kj::Maybe<std::uint32_t> m_member; // once accepted
-    bool m_placed = false;
+    flow::Routing m_routing; // what the last redirect said
     int m_attempts = 0;
     kj::Promise<void> m_opening = nullptr;
     kj::Promise<void> m_leaving = nullptr;
@@ -165,6 +171,7 @@
     , m_counters(counters)
     , m_openStreams(openStreams)
     , m_map(std::make_unique<flow::BucketMap>(std::make_shared<flow::Membership>()))
+    , m_hints(hintSlots)
     , m_pool(loop)
     , m_random(randomSeed())
     , m_datagramsIn(counters.counter("datagrams_from_callers_total"))
@@ -182,7 +189,7 @@
 
 void BalancerTraffic::setMembership(flow::MembershipPointer membership)
 {
-    m_map = std::make_unique<flow::BucketMap>(std::move(membership));
+    m_map = std::make_unique<flow::BucketMap>(std::move(membership), m_map.get());
     for (const auto& service : m_map->membership().services) {
         const auto found = m_entrances.find(service.id);
         const bool moved = found != m_entrances.end() && found->second->address != entranceAddress(service);
@@ -258,19 +265,21 @@
 {
     m_datagramsIn.fetch_add(1, std::memory_order_relaxed);
     const flow::FlowKey key { caller, service };
-    const flow::Member* owner = m_map->ownerOf(key);
-    if (!owner) {
+    const flow::Member* target = m_map->membership().member(m_hints.holderOf(key));
+    if (!target || target->state == flow::MemberState::Lost)
+        target = m_map->ownerOf(key);
+    if (!target) {
         refused(RefusalReason::NoMember);
         return;
     }
     net::TrunkDatagram datagram;
-    datagram.member = owner->id;
+    datagram.member = target->id;
     datagram.revision = m_map->revision();
     datagram.key = key;
     datagram.payload = payload;
     const net::Bytes encoded = m_buffer.encode(datagram);
     if (!encoded.empty())
-        m_trunk->queue(owner->trunk, encoded);
+        m_trunk->queue(target->trunk, encoded);
 }
 
 kj::Promise<void> BalancerTraffic::takeTrunk()
@@ -290,6 +299,7 @@
 void BalancerTraffic::fromAgent(const net::TrunkDatagram& datagram)
 {
     if (datagram.kind == net::DatagramKind::Refusal) {
+        m_hints.forget(datagram.key);
         refused(datagram.reason);
         return;
     }
@@ -298,6 +308,7 @@
         refused(RefusalReason::UnknownService);
         return;
     }
+    m_hints.learn(datagram.key, datagram.member);
     m_datagramsOut.fetch_add(1, std::memory_order_relaxed);
     found->second->datagrams->queue(datagram.key.caller, datagram.payload);
 }
--- a/src/roles/BalancerTraffic.h
+++ b/src/roles/BalancerTraffic.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flow/BucketMap.h"
+#include "flow/HintCache.h"
 #include "net/DatagramSocket.h"
 #include "net/LoopThread.h"
 #include "net/StreamRelay.h"
@@ -64,6 +65,7 @@
     std::unique_ptr<net::DatagramSocket> m_trunk;
     kj::Own<kj::UnixEventPort::FdObserver> m_trunkObserver;
     net::TrunkBuffer m_buffer;
+    flow::HintCache m_hints; // of datagram flows
     net::TrunkPool m_pool;
     std::map<std::uint64_t, kj::Own<Stream>> m_streams; // by stream id
     std::mt19937_64 m_random;
--- a/tests/net/TrunkDatagramTest.cpp
+++ b/tests/net/TrunkDatagramTest.cpp
@@ -15,6 +15,7 @@
     datagram.member = 77;
     datagram.revision = 1ULL << 40;
     datagram.key = { *net::Address::parse("[fd00::1]:5000"), 9 };
+    datagram.routing = { flow::Route::Placed, 1ULL << 41, 5ULL << 32, 12 };
     datagram.returnAddress = *net::Address::parse("10.1.2.3:4");
 
     const auto roundTrip = [&](const std::vector<std::uint8_t>& payload) {
@@ -25,7 +26,7 @@
         const auto decoded = net::decodeTrunk({ wire.data(), encoded.size() });
         return decoded && decoded->kind == datagram.kind && decoded->hops == 2 && decoded->member == 77
             && decoded->revision == datagram.revision && decoded->key == datagram.key
-            && decoded->returnAddress == datagram.returnAddress
+            && decoded->routing == datagram.routing && decoded->returnAddress == datagram.returnAddress
             && std::equal(decoded->payload.begin(), decoded->payload.end(), payload.begin(), payload.end());
     };
 
