--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -28,10 +28,16 @@
 }
 
 interface Control {
-  announce @0 (announcement :Announcement) -> (status :UInt8, member :UInt32, leaseMillis :UInt32);
-  # Joins, renews the lease or reports a drain. status is control::AnnounceStatus.
+  announce @0 (announcement :Announcement, forwarded :Bool) -> (status :UInt8, member :UInt32, leaseMillis :UInt32);
+  # Joins, renews the lease or reports a drain. status is control::AnnounceStatus. A follower forwards it once.
 
   changes @1 (subscriber :Text, after :UInt64, services :List(Text), allServices :Bool) -> (status :UInt8, view :View);
   # Held until the state is newer than `after`; `after` is also what is in force at the subscriber.
   # status is control::ChangesStatus.
+
+  deliver @2 (message :Data) -> ();
+  # A QuorumMessage of another control instance.
+
+  propose @3 (command :Data) -> (status :UInt8, index :UInt64);
+  # From a follower to the leader; answered once committed. status is control::ProposeStatus.
 }
--- a/schema/journal.capnp
+++ b/schema/journal.capnp
@@ -2,6 +2,7 @@
 # What the journal of the control instances holds.
 using Cxx = import "/capnp/c++.capnp";
 using Common = import "common.capnp";
+using Control = import "control.capnp";
 $Cxx.namespace("yuccahook::schema");
 
 struct UpdateMembers {
@@ -16,3 +17,17 @@
     members @1 :UpdateMembers;
   }
 }
+
+struct AcceptedNote {
+  number @0 :UInt64;
+  content @1 :Text;
+  author @2 :Text;
+  revision @3 :UInt64;
+}
+
+struct ClusterImage {
+  # The replicated state in a snapshot.
+  view @0 :Control.View;
+  notes @1 :List(AcceptedNote);
+  lastId @2 :UInt32;
+}
--- a/src/control/ClusterState.cpp
+++ b/src/control/ClusterState.cpp
@@ -31,6 +31,13 @@
 
 ClusterState::ClusterState(std::uint64_t cluster) { m_membership.cluster = cluster; }
 
+ClusterState::ClusterState(ClusterImage image)
+    : m_membership(std::move(image.membership))
+    , m_notes(std::move(image.notes))
+    , m_lastId(image.lastId)
+{
+}
+
 std::optional<NoteOutcome> ClusterState::apply(const Command& command)
 {
     if (const auto* submit = std::get_if<SubmitNote>(&command))
--- a/src/control/ClusterState.h
+++ b/src/control/ClusterState.h
@@ -33,10 +33,20 @@
     std::uint64_t revision = 0;
 };
 
+/// All of the replicated state that a snapshot keeps.
+struct ClusterImage {
+    flow::Membership membership;
+    std::map<std::uint64_t, NoteRecord> notes;
+    std::uint32_t lastId = 0;
+};
+
 /// The replicated state: applies committed commands in order, alike on every control instance.
 class ClusterState {
 public:
     explicit ClusterState(std::uint64_t cluster);
+    explicit ClusterState(ClusterImage image);
+
+    ClusterImage image() const { return { m_membership, m_notes, m_lastId }; }
 
     const flow::Membership& membership() const { return m_membership; }
     const std::map<std::uint64_t, NoteRecord>& notes() const { return m_notes; }
--- /dev/null
+++ b/tests/control/FaultyFiles.cpp
@@ -0,0 +1,100 @@
+#include "control/FaultyFiles.h"
+
+#include <algorithm>
+
+namespace yuccahook::control::testing {
+
+void FaultyFiles::crash()
+{
+    m_crashAfter = 0;
+    if (m_random() % 2 == 0)
+        m_folder = m_syncedFolder;
+    for (auto& [name, file] : m_folder) {
+        const bool appended = file->content.size() > file->synced.size()
+            && std::equal(file->synced.begin(), file->synced.end(), file->content.begin());
+        std::string left = file->synced;
+        if (appended && m_random() % 2 == 0) {
+            const std::size_t extra = m_random() % (file->content.size() - left.size() + 1);
+            left = file->content.substr(0, left.size() + extra);
+            if (extra > 0 && m_random() % 2 == 0)
+                left.back() = static_cast<char>(~left.back());
+        }
+        file->content = file->synced = left;
+    }
+    m_syncedFolder = m_folder;
+}
+
+void FaultyFiles::lose()
+{
+    m_folder.clear();
+    m_syncedFolder.clear();
+}
+
+FileStatus FaultyFiles::read(const std::string& name, std::string& content)
+{
+    const auto found = m_folder.find(name);
+    if (found == m_folder.end())
+        return FileStatus::Missing;
+    content = found->second->content;
+    return FileStatus::Done;
+}
+
+FileStatus FaultyFiles::create(const std::string& name)
+{
+    if (crashesNow())
+        throw Crash {};
+    m_folder[name] = std::make_shared<File>();
+    return FileStatus::Done;
+}
+
+FileStatus FaultyFiles::append(const std::string& name, std::string_view bytes)
+{
+    auto& file = *m_folder.at(name);
+    const bool crashes = crashesNow();
+    const bool full = file.content.size() + bytes.size() > m_limitBytes;
+    file.content += crashes || full ? bytes.substr(0, bytes.size() / 2) : bytes;
+    if (crashes)
+        throw Crash {};
+    return full ? FileStatus::NoSpace : FileStatus::Done;
+}
+
+FileStatus FaultyFiles::truncate(const std::string& name, std::uint64_t size)
+{
+    if (crashesNow())
+        throw Crash {};
+    m_folder.at(name)->content.resize(size);
+    return FileStatus::Done;
+}
+
+FileStatus FaultyFiles::sync(const std::string& name)
+{
+    if (crashesNow())
+        throw Crash {};
+    if (m_failSyncs)
+        return FileStatus::SyncFailed;
+    auto& file = *m_folder.at(name);
+    if (!m_ignoreSyncs)
+        file.synced = file.content;
+    return FileStatus::Done;
+}
+
+FileStatus FaultyFiles::rename(const std::string& from, const std::string& to)
+{
+    if (crashesNow())
+        throw Crash {};
+    m_folder[to] = m_folder.at(from);
+    m_folder.erase(from);
+    return FileStatus::Done;
+}
+
+FileStatus FaultyFiles::syncFolder()
+{
+    if (crashesNow())
+        throw Crash {};
+    if (m_failSyncs)
+        return FileStatus::SyncFailed;
+    m_syncedFolder = m_folder;
+    return FileStatus::Done;
+}
+
+} // namespace yuccahook::control::testing
--- /dev/null
+++ b/tests/control/FaultyFiles.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "control/FileLayer.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace yuccahook::control::testing {
+
+/// Thrown in the middle of an operation: the process ends here.
+struct Crash { };
+
+/// A folder in memory that loses what was not synced when it crashes, and fails on request.
+class FaultyFiles final : public FileLayer {
+public:
+    using Random = std::function<std::uint64_t()>;
+
+    explicit FaultyFiles(Random random)
+        : m_random(std::move(random))
+    {
+    }
+
+    /// The operation after this many more crashes in its middle; 0 for none.
+    void crashAfter(std::uint64_t operations) { m_crashAfter = operations; }
+    void failSyncs(bool fail) { m_failSyncs = fail; }
+    void ignoreSyncs(bool ignore) { m_ignoreSyncs = ignore; }
+    void limitBytes(std::uint64_t bytes) { m_limitBytes = bytes; }
+    std::uint64_t operations() const { return m_operations; }
+
+    /// What a crash leaves: synced bytes, and of the others none, some or damaged ones.
+    void crash();
+
+    /// A new, empty disk.
+    void lose();
+
+    /// The bytes of a file, to look at or damage.
+    std::string& content(const std::string& name) { return m_folder.at(name)->content; }
+
+    FileStatus read(const std::string& name, std::string& content) override;
+    FileStatus create(const std::string& name) override;
+    FileStatus append(const std::string& name, std::string_view bytes) override;
+    FileStatus truncate(const std::string& name, std::uint64_t size) override;
+    FileStatus sync(const std::string& name) override;
+    FileStatus rename(const std::string& from, const std::string& to) override;
+    FileStatus syncFolder() override;
+
+private:
+    struct File {
+        std::string content;
+        std::string synced;
+    };
+    using Folder = std::map<std::string, std::shared_ptr<File>>;
+
+    bool crashesNow() { return ++m_operations == m_crashAfter; }
+
+    Random m_random;
+    Folder m_folder;
+    Folder m_syncedFolder;
+    std::uint64_t m_operations = 0;
+    std::uint64_t m_crashAfter = 0;
+    std::uint64_t m_limitBytes = UINT64_MAX;
+    bool m_failSyncs = false;
+    bool m_ignoreSyncs = false;
+};
+
+} // namespace yuccahook::control::testing
