--- a/src/control/QuorumCore.cpp
+++ b/src/control/QuorumCore.cpp
@@ -484,6 +484,9 @@
         const std::uint64_t index = batch.index + 1 + offset;
         if (index <= m_snapshot.index || (index <= lastIndex() && termAt(index) == batch.entries[offset].term))
             continue;
+        m_contradicts = m_contradicts || index <= m_commit;
+        if (m_contradicts)
+            return;
         replaceFrom(index, batch.entries, offset);
         break;
     }
@@ -531,11 +534,15 @@
     progress.heardMillis = std::max(progress.heardMillis, answer.echo);
     progress.waiting = false;
     if (!answer.granted) {
-        progress.next = std::max(progress.match, answer.index) + 1;
-        progress.next = std::min(progress.next, lastIndex() + 1);
-        replicate(answer.from);
+        const std::uint64_t refused = progress.next;
+        progress.next = std::min(std::max(progress.match, answer.index), lastIndex()) + 1;
+        if (progress.next != refused)
+            replicate(answer.from); // else the next heartbeat tries again
         return;
     }
+    m_contradicts = m_contradicts || answer.index > lastIndex();
+    if (m_contradicts)
+        return;
     progress.match = std::max(progress.match, answer.index);
     progress.next = progress.match + 1;
     advanceCommit();
--- a/src/control/QuorumCore.h
+++ b/src/control/QuorumCore.h
@@ -77,6 +77,10 @@
     /// Whether the newest voters are committed and none is being replaced.
     bool isSettled() const { return configuration().joining.empty() && m_configurations.rbegin()->first <= m_commit; }
 
+    /// Whether a leader's log contradicts what was committed here, which only a lost or damaged journal can bring
+    /// about.
+    bool contradicts() const { return m_contradicts; }
+
     /// Whether this instance's disk is among the voters it knows.
     bool votes() const { return configuration().contains(m_id, m_disk); }
 
@@ -169,6 +173,7 @@
 
     QuorumOutput m_output;
     std::optional<std::uint64_t> m_writeFrom;
+    bool m_contradicts = false;
     bool m_voteChanged = false;
     bool m_snapshotChanged = false;
 };
--- a/src/control/QuorumReplica.h
+++ b/src/control/QuorumReplica.h
@@ -45,6 +45,9 @@
     /// Why this instance takes part no more; nothing while it does.
     const std::optional<JournalFault>& fault() const { return m_journal.fault(); }
 
+    /// Whether this instance takes part: its journal is sound and agrees with the leader's.
+    bool runs() const { return m_core && !fault() && !m_core->contradicts(); }
+
     void receive(const QuorumMessage& message, std::uint64_t nowMillis);
     void tick(std::uint64_t nowMillis);
 
@@ -59,7 +62,6 @@
     const QuorumCore* core() const { return m_core ? &*m_core : nullptr; }
 
 private:
-    bool runs() const { return m_core && !fault(); }
     void compactWhenLong();
 
     const Options m_options;
