Replicate the control instances' commands through the quorum

Control instances speak by two new methods of the Control interface; a follower sends notes and announcements on to the leader and answers subscribers from what it applied while it is in contact with a quorum.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -2,14 +2,12 @@
 
 #include "control.capnp.h"
 #include "control/Announcement.h"
-#include "control/LocalLog.h"
 #include "control/MembershipCodec.h"
 #include "observe/Log.h"
 
 #include <algorithm>
 #include <future>
 #include <nlohmann/json.hpp>
-#include <random>
 
 namespace yuccahook::control {
 
@@ -20,6 +18,7 @@
 constexpr std::uint32_t leaseMillis = 10'000;
 constexpr auto leaseCheckInterval = 500 * kj::MILLISECONDS;
 constexpr auto holdChanges = 5 * kj::SECONDS;
+constexpr auto handOverTimeout = std::chrono::seconds(2);
 constexpr auto operatorTimeout = std::chrono::seconds(10);
 
 nlohmann::json toJson(const settings::Faults& faults)
@@ -79,6 +78,10 @@
         const auto announcement = context.getParams().getAnnouncement();
         auto results = context.getResults();
         results.setLeaseMillis(leaseMillis);
+        if (!m_node.m_log->leads() && !context.getParams().getForwarded()) {
+            KJ_IF_MAYBE (leader, m_node.m_log->leader())
+                return forward(context, *leader);
+        }
         results.setStatus(static_cast<std::uint8_t>(take(announcement, results)));
         return kj::READY_NOW;
     }
@@ -96,7 +99,38 @@
         return m_node.waitForNewer(after).then([this, context, after]() mutable { answer(context, after); });
     }
 
+    kj::Promise<void> deliver(DeliverContext context) override
+    {
+        const auto message = context.getParams().getMessage();
+        m_node.m_log->deliver({ reinterpret_cast<const char*>(message.begin()), message.size() });
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> propose(ProposeContext context) override
+    {
+        const auto command = context.getParams().getCommand();
+        auto paf = kj::newPromiseAndFulfiller<void>();
+        auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(paf.fulfiller));
+        auto placed = [context, fulfiller](ProposeStatus status, std::uint64_t index) mutable {
+            auto results = context.getResults();
+            results.setStatus(static_cast<std::uint8_t>(status));
+            results.setIndex(index);
+            (*fulfiller)->fulfill();
+        };
+        m_node.m_log->proposeHere({ reinterpret_cast<const char*>(command.begin()), command.size() }, placed);
+        return kj::mv(paf.promise);
+    }
+
 private:
+    // Once only, so that two instances that take each other for the leader end it.
+    kj::Promise<void> forward(AnnounceContext context, schema::Control::Client leader)
+    {
+        auto request = leader.announceRequest();
+        request.setAnnouncement(context.getParams().getAnnouncement());
+        request.setForwarded(true);
+        return request.send().then([context](auto response) mutable { context.setResults(response); });
+    }
+
     AnnounceStatus take(schema::Announcement::Reader announcement, AnnounceResults::Builder results)
     {
         if (!m_node.m_log->leads())
@@ -109,7 +143,9 @@
         const auto known = std::find_if(membership.members.begin(), membership.members.end(),
             [&agent](const flow::Member& member) { return member.agent == agent; });
         if (known == membership.members.end() || known->incarnation < announcement.getIncarnation()) {
-            m_node.m_pendingMembers.joined.push_back(memberOf(announcement, service->id));
+            auto& joined = m_node.m_pendingMembers.joined;
+            std::erase_if(joined, [&agent](const flow::Member& member) { return member.agent == agent; });
+            joined.push_back(memberOf(announcement, service->id));
             m_node.proposeMembers();
             return AnnounceStatus::Pending;
         }
@@ -159,15 +195,24 @@
     return m_thread.start([this](net::Loop& loop) { setUp(loop); }, [this] { tearDown(); });
 }
 
-void ControlNode::stop() { m_thread.stop(); }
+void ControlNode::stop()
+{
+    auto handedOver = std::make_shared<std::promise<void>>();
+    auto finished = handedOver->get_future();
+    const bool queued = m_thread.post([this, handedOver](net::Loop&) {
+        if (m_log)
+            m_log->handOver([handedOver] { handedOver->set_value(); });
+    });
+    if (queued)
+        finished.wait_for(handOverTimeout);
+    m_thread.stop();
+}
 
 void ControlNode::setUp(net::Loop& loop)
 {
     m_loop = &loop;
-    std::random_device random;
-    const std::uint64_t cluster = static_cast<std::uint64_t>(random()) << 32 | random();
-    m_state = std::make_unique<ClusterState>(cluster);
-    m_log = std::make_unique<LocalLog>(*m_state);
+    m_state = std::make_unique<ClusterState>(0); // the journal names the cluster
+    m_log = std::make_unique<QuorumLog>(m_settings, loop, *m_state, m_counters, [this] { wakeSubscribers(); });
     m_server = kj::heap<capnp::TwoPartyServer>(kj::heap<RpcServer>(*this));
     sockaddr_storage socket {};
     const socklen_t length = m_settings.listen.toSocket(socket);
@@ -260,8 +305,9 @@
 net::HttpReply ControlNode::submitNote(const net::HttpRequest& request)
 {
     return onControlThread([this, text = request.body](net::HttpReply& reply, std::function<void()> done) {
+        // A follower's state may lag behind what the same operator has been told, so only the leader refuses at once.
         const auto judged = m_state->judge(text);
-        if (judged.status != NoteStatus::Accepted) {
+        if (m_log->leads() && judged.status != NoteStatus::Accepted) {
             reply = toReply(judged);
             done();
             return;
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control/ClusterState.h"
-#include "control/CommandLog.h"
+#include "control/QuorumLog.h"
 #include "kernel/Service.h"
 #include "net/HttpMessage.h"
 #include "net/LoopThread.h"
@@ -60,7 +60,7 @@
     // Control thread only.
     net::Loop* m_loop = nullptr;
     std::unique_ptr<ClusterState> m_state;
-    std::unique_ptr<CommandLog> m_log;
+    std::unique_ptr<QuorumLog> m_log;
     kj::Own<capnp::TwoPartyServer> m_server;
     kj::Own<kj::ConnectionReceiver> m_receiver;
     std::map<std::uint32_t, Lease> m_leases; // by member id
--- /dev/null
+++ b/src/control/QuorumLog.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "control.capnp.h"
+#include "control/ClusterState.h"
+#include "control/CommandLog.h"
+#include "control/QuorumReplica.h"
+#include "net/LoopThread.h"
+#include "observe/Counters.h"
+#include "settings/Settings.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <functional>
+#include <kj/async.h>
+#include <map>
+#include <string>
+
+namespace yuccahook::control {
+
+/// The log that the control instances replicate: the replica's way to its files, its peers and the applied state.
+/// Lives on the control thread, on which it also syncs.
+class QuorumLog final : public CommandLog, private QuorumHost, private kj::TaskSet::ErrorHandler {
+public:
+    /// Called with a status and, once committed, the index.
+    using Placed = std::function<void(ProposeStatus, std::uint64_t index)>;
+
+    /// `applied` is called after entries were applied to `state`. Throws when the data folder can't be used.
+    QuorumLog(const settings::ControlSettings& settings, net::Loop& loop, ClusterState& state,
+        observe::Counters& counters, std::function<void()> applied);
+    ~QuorumLog() noexcept override;
+
+    /// A follower sends the command to the leader.
+    void propose(const Command& command, Done done) override;
+    bool leads() const override;
+    bool current() const override;
+
+    /// A command that another instance sent on; refused when this one does not lead.
+    void proposeHere(std::string command, Placed placed);
+
+    /// A message of another instance.
+    void deliver(const std::string& message);
+
+    /// The leader's interface, while this instance follows one and is connected to it.
+    kj::Maybe<schema::Control::Client> leader();
+
+    /// Gives the lead away; `done` is called once another leads, or soon after when none takes it.
+    void handOver(std::function<void()> done);
+
+private:
+    struct Peer;
+    struct Waiting {
+        std::uint64_t term = 0;
+        Placed placed;
+        kj::TimePoint until;
+    };
+
+    void send(const QuorumMessage& message) override;
+    void apply(std::uint64_t index, const QuorumEntry& entry) override;
+    void restore(const QuorumSnapshot& snapshot) override;
+    std::string saveState() override;
+    void taskFailed(kj::Exception&& exception) override;
+
+    std::uint64_t nowMillis() const;
+    kj::Promise<void> keepTicking();
+    kj::Promise<void> keepConnected(Peer& peer);
+    kj::Promise<void> connect(Peer& peer);
+    kj::Promise<void> waitForOtherLeader(std::function<void()> done, kj::TimePoint until);
+    void flushSoon();
+    void finishApplied();
+    void giveUpWaiting();
+    void reportFault();
+    void waitForApplied(std::uint64_t index, Done done);
+
+    net::Loop& m_loop;
+    ClusterState& m_state;
+    observe::Counters& m_counters;
+    const std::function<void()> m_applied;
+    FolderFiles m_files;
+    std::map<std::uint32_t, kj::Own<Peer>> m_peers;
+    std::multimap<std::uint64_t, Waiting> m_proposed; // by index
+    std::multimap<std::uint64_t, Waiting> m_forwarded; // by the index to apply first
+    std::uint64_t m_appliedIndex = 0;
+    bool m_changed = false;
+    bool m_flushing = false;
+    bool m_faultReported = false;
+    kj::Own<QuorumReplica> m_replica;
+    kj::TaskSet m_tasks; // last, so that it ends first
+};
+
+} // namespace yuccahook::control
