--- a/src/roles/CommandLine.cpp
+++ b/src/roles/CommandLine.cpp
@@ -1,5 +1,6 @@
 #include "roles/CommandLine.h"
 
+#include "control/JournalReport.h"
 #include "net/HttpCall.h"
 #include "roles/ExitCode.h"
 #include "roles/Process.h"
@@ -27,6 +28,8 @@
   yuccahook note list --control IP:PORT
   yuccahook status --address IP:PORT
       Shows the status of any process from its operator address.
+  yuccahook journal check|show FOLDER
+      Reads the journal of a control instance that is stopped, or a copy, and changes nothing.
   yuccahook --version
 
 Exit codes: 0 success, 1 usage, 2 bad settings or note, 3 refused, 4 unreachable, 5 failed.
@@ -103,6 +106,18 @@
     return code(ExitCode::Usage);
 }
 
+int runJournal(const Arguments& arguments, std::ostream& out, std::ostream& err)
+{
+    const auto& words = arguments.words;
+    if (words.size() != 3 || (words[1] != "check" && words[1] != "show")) {
+        err << helpText;
+        return code(ExitCode::Usage);
+    }
+    const auto report = control::reportOnJournal(words[2], words[1] == "show");
+    out << report.body.dump(2) << '\n';
+    return code(report.good ? ExitCode::Success : ExitCode::Failed);
+}
+
 int run(const Arguments& arguments, std::ostream& out, std::ostream& err)
 {
     const auto& words = arguments.words;
@@ -113,6 +128,8 @@
         return check(words[1], out, err);
     if (command == "note")
         return runNote(arguments, out, err);
+    if (command == "journal")
+        return runJournal(arguments, out, err);
     if (command == "status")
         return call(arguments.address, { "GET", "/status", "", "" }, out, err);
     err << helpText;
