--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "control/ClusterState.h"
-#include "control/CommandLog.h"
 #include "control/LeaseTable.h"
+#include "control/QuorumLog.h"
 #include "kernel/Service.h"
 #include "net/HttpMessage.h"
 #include "net/LoopThread.h"
@@ -63,7 +63,7 @@
     // Control thread only.
     net::Loop* m_loop = nullptr;
     std::unique_ptr<ClusterState> m_state;
-    std::unique_ptr<CommandLog> m_log;
+    std::unique_ptr<QuorumLog> m_log;
     kj::Own<capnp::TwoPartyServer> m_server;
     kj::Own<kj::ConnectionReceiver> m_receiver;
     LeaseTable m_leases;
