--- a/bench/AdmissionModel.cpp
+++ b/bench/AdmissionModel.cpp
@@ -170,7 +170,7 @@
         figures.workInTimeSeconds += seconds(request.serviceTime);
     }
 
-    void refuse(ModelRequest& request, request::AdmissionReason reason)
+    void refuse(ModelRequest& request, request::RequestReason reason)
     {
         if (request.runs > 0)
             ++m_result.falseNotRun;
@@ -319,7 +319,7 @@
         for (std::uint32_t from = 0; from < m_options.targets; ++from) {
             for (std::uint32_t to = 0; to < m_options.targets; ++to)
                 m_clock.after(m_options.oneWay,
-                    [this, from, to, load = loadOf(from)] { m_agents[to].admission->heardLoad(from, load); });
+                    [this, from, to, load = loadOf(from)] { m_agents[to].admission->heardLoad(from, load, m_clock.now()); });
         }
         m_clock.after(m_options.loadInterval, [this] { spreadLoads(); });
     }
@@ -388,7 +388,7 @@
             m_hedges[request.id] = action.peer;
         m_clock.after(m_options.oneWay,
             [this, agent, hedge, peer = action.peer, mayHaveRun = action.mayHaveRun, load = loadOf(agent), &request] {
-                m_agents[peer].admission->heardLoad(agent, load);
+                m_agents[peer].admission->heardLoad(agent, load, m_clock.now());
                 auto description = describe(request);
                 description.offered = true;
                 description.mayHaveRun = mayHaveRun;
@@ -400,7 +400,7 @@
                     return;
                 m_result.offersTaken += taken ? 1 : 0;
                 m_clock.after(m_options.oneWay, [this, agent, peer, taken, load = loadOf(peer), &request] {
-                    m_agents[agent].admission->heardLoad(peer, load);
+                    m_agents[agent].admission->heardLoad(peer, load, m_clock.now());
                     apply(agent, m_agents[agent].admission->peerAnswered(request.id, taken, m_clock.now()));
                 });
             });
--- a/src/request/Admission.h
+++ b/src/request/Admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/EnumNames.h"
+#include "request/RequestState.h"
 
 #include <array>
 #include <chrono>
@@ -12,20 +13,6 @@
 
 using AdmissionTime = std::chrono::nanoseconds;
 
-/// Why a request was refused as not run, or was not tried again.
-enum class AdmissionReason : std::uint8_t {
-    None,
-    Draining,
-    NoSlots, ///< The backend server has not announced itself.
-    QueueFull, ///< Expected to wait longer than the service allows.
-    DeadlineUnreachable, ///< Would not finish before its deadline.
-    QueueTimeout, ///< Waited until it could no longer finish in time.
-    Displaced, ///< A request of higher priority took its place in a full queue.
-    PeerBusy, ///< Offered by another agent, and no slot is free here.
-    BackendShed, ///< The backend server turned it away.
-    RetryBudgetSpent
-};
-
 /// A request as admission sees it.
 struct AdmissionRequest {
     std::uint64_t id = 0;
@@ -58,7 +45,7 @@
 struct AdmissionAction {
     AdmissionActionKind kind;
     std::uint64_t id;
-    AdmissionReason reason = AdmissionReason::None;
+    RequestReason reason = RequestReason::None;
     std::uint32_t peer = 0;
     AdmissionTime retryAfter {};
     bool mayHaveRun = false; ///< Of an offer or hedge: for the peer's AdmissionRequest.
@@ -68,11 +55,6 @@
 
 } // namespace yuccahook::request
 
-template <> struct yuccahook::kernel::EnumNames<yuccahook::request::AdmissionReason> {
-    static constexpr std::array<std::string_view, 10> names { "none", "draining", "no-slots", "queue-full",
-        "deadline-unreachable", "queue-timeout", "displaced", "peer-busy", "backend-shed", "retry-budget-spent" };
-};
-
 template <> struct yuccahook::kernel::EnumNames<yuccahook::request::AdmissionActionKind> {
     static constexpr std::array<std::string_view, 6> names { "dispatch", "offer", "hedge", "refuse", "fail", "cancel" };
 };
--- a/src/request/AgentAdmission.cpp
+++ b/src/request/AgentAdmission.cpp
@@ -20,6 +20,17 @@
 {
 }
 
+AdmissionActions AgentAdmission::configure(const AdmissionSettings& settings, AdmissionTime now)
+{
+    AdmissionActions actions;
+    m_settings = settings;
+    m_limit.configure(settings.slowStart, settings.learnLimit);
+    m_retries = RetryBudget(settings.retryShare, settings.retryBurst);
+    m_queue.configure(settings);
+    dispatchWaiting(now, actions);
+    return actions;
+}
+
 AdmissionActions AgentAdmission::setSlots(std::uint32_t slots, AdmissionTime now)
 {
     AdmissionActions actions;
@@ -41,10 +52,10 @@
         return actions;
     }
     if (request.offered)
-        refuse(waiting, m_draining ? AdmissionReason::Draining : AdmissionReason::PeerBusy, now, actions);
+        refuse(waiting, m_draining ? RequestReason::Draining : RequestReason::ConcurrencyLimit, now, actions);
     else if (now + waiting.expected > request.deadline)
-        refuse(waiting, AdmissionReason::DeadlineUnreachable, now, actions);
-    else if (!offer(waiting, actions))
+        refuse(waiting, RequestReason::DeadlineUnmeetable, now, actions);
+    else if (!offer(waiting, now, actions))
         enqueue(std::move(waiting), now, actions);
     return actions;
 }
@@ -85,9 +96,9 @@
     if (!offered.afterFailure)
         enqueue(std::move(offered.waiting), now, actions);
     else if (*offered.afterFailure == AttemptOutcome::NotRun)
-        refuse(offered.waiting, AdmissionReason::BackendShed, now, actions);
+        refuse(offered.waiting, RequestReason::ShedByBackend, now, actions);
     else
-        refuse(offered.waiting, AdmissionReason::PeerBusy, now, actions);
+        refuse(offered.waiting, RequestReason::ConcurrencyLimit, now, actions);
     return actions;
 }
 
@@ -112,8 +123,8 @@
     while (!m_queue.waiting().empty()) {
         Waiting waiting = m_queue.waiting().front();
         m_queue.erase(waiting.request.id);
-        if (!offer(waiting, actions))
-            refuse(waiting, AdmissionReason::Draining, now, actions);
+        if (!offer(waiting, now, actions))
+            refuse(waiting, RequestReason::Draining, now, actions);
     }
     return actions;
 }
@@ -128,7 +139,7 @@
     }
     for (const auto& waiting : late) {
         m_queue.erase(waiting.request.id);
-        refuse(waiting, AdmissionReason::QueueTimeout, now, actions);
+        refuse(waiting, RequestReason::DeadlineInQueue, now, actions);
     }
     for (auto& [id, attempt] : m_running)
         hedgeOrCancel(attempt, now, actions);
@@ -179,18 +190,18 @@
     return m_queue.expectedWait(newcomer, m_limit.at(now));
 }
 
-AdmissionReason AgentAdmission::reasonToRefuse(const Waiting& waiting, AdmissionTime now) const
+RequestReason AgentAdmission::reasonToRefuse(const Waiting& waiting, AdmissionTime now) const
 {
     if (m_draining)
-        return AdmissionReason::Draining;
+        return RequestReason::Draining;
     if (m_limit.slots() == 0)
-        return AdmissionReason::NoSlots;
+        return RequestReason::BackendUnreachable;
     const AdmissionTime wait = expectedWait(waiting, now);
     if (now + wait + waiting.expected > waiting.request.deadline)
-        return AdmissionReason::DeadlineUnreachable;
+        return RequestReason::DeadlineUnmeetable;
     if (wait > m_settings.maximumWait)
-        return AdmissionReason::QueueFull;
-    return AdmissionReason::None;
+        return RequestReason::QueueFull;
+    return RequestReason::None;
 }
 
 // A queue that is full only because of lower priorities gives their places up.
@@ -203,13 +214,13 @@
         const auto displaced = m_queue.popBelow(waiting.request.priority, kept);
         if (!displaced)
             return;
-        refuse(*displaced, AdmissionReason::Displaced, now, actions);
+        refuse(*displaced, RequestReason::LowPriority, now, actions);
     }
 }
 
 void AgentAdmission::enqueue(Waiting waiting, AdmissionTime now, AdmissionActions& actions)
 {
-    if (const auto reason = reasonToRefuse(waiting, now); reason != AdmissionReason::None) {
+    if (const auto reason = reasonToRefuse(waiting, now); reason != RequestReason::None) {
         refuse(waiting, reason, now, actions);
         return;
     }
@@ -218,15 +229,15 @@
     dispatchWaiting(now, actions);
 }
 
-bool AgentAdmission::offer(Waiting& waiting, AdmissionActions& actions)
+bool AgentAdmission::offer(Waiting& waiting, AdmissionTime now, AdmissionActions& actions)
 {
     if (!m_settings.offers || waiting.request.offered || waiting.peerAsked)
         return false;
-    const auto peer = m_peers.choose();
+    const auto peer = m_peers.choose(now);
     if (!peer)
         return false;
     waiting.peerAsked = true;
-    actions.push_back({ AdmissionActionKind::Offer, waiting.request.id, AdmissionReason::None, *peer, {},
+    actions.push_back({ AdmissionActionKind::Offer, waiting.request.id, RequestReason::None, *peer, {},
         waiting.request.mayHaveRun });
     m_offered[waiting.request.id].waiting = std::move(waiting);
     return true;
@@ -249,7 +260,7 @@
         if (!waiting)
             return;
         if (now + waiting->expected > waiting->request.deadline)
-            refuse(*waiting, AdmissionReason::QueueTimeout, now, actions);
+            refuse(*waiting, RequestReason::DeadlineInQueue, now, actions);
         else
             dispatch(std::move(*waiting), now, actions);
     }
@@ -260,13 +271,13 @@
     const auto id = waiting.request.id;
     const bool notRun = outcome == AttemptOutcome::NotRun;
     waiting.request.mayHaveRun |= !notRun;
-    auto reason = notRun ? AdmissionReason::BackendShed : AdmissionReason::None;
+    auto reason = notRun ? RequestReason::ShedByBackend : RequestReason::BackendLost;
     const bool mayRepeat = (notRun || waiting.request.idempotent) && !waiting.request.offered;
     if (mayRepeat && waiting.attempts < maximumAttempts) {
         waiting.peerAsked = false;
         if (!m_retries.take()) {
-            reason = AdmissionReason::RetryBudgetSpent;
-        } else if (offer(waiting, actions)) {
+            reason = RequestReason::RetryBudgetSpent;
+        } else if (offer(waiting, now, actions)) {
             m_offered[id].afterFailure = outcome;
             return;
         } else if (notRun) {
@@ -278,7 +289,7 @@
 }
 
 void AgentAdmission::refuse(
-    const Waiting& waiting, AdmissionReason reason, AdmissionTime now, AdmissionActions& actions) const
+    const Waiting& waiting, RequestReason reason, AdmissionTime now, AdmissionActions& actions) const
 {
     const AdmissionTime retryAfter = std::max<AdmissionTime>(m_settings.maximumWait, expectedWait(waiting, now));
     const auto kind = waiting.request.mayHaveRun ? AdmissionActionKind::Fail : AdmissionActionKind::Refuse;
@@ -298,8 +309,8 @@
     if (attempt.hedged || now < hedgeDue(attempt))
         return;
     attempt.hedged = true;
-    if (const auto peer = m_peers.choose(); peer && m_retries.take())
-        actions.push_back({ AdmissionActionKind::Hedge, request.id, AdmissionReason::None, *peer, {}, true });
+    if (const auto peer = m_peers.choose(now); peer && m_retries.take())
+        actions.push_back({ AdmissionActionKind::Hedge, request.id, RequestReason::None, *peer, {}, true });
 }
 
 AdmissionTime AgentAdmission::hedgeDue(const Attempt& attempt) const
--- a/src/request/AgentAdmission.h
+++ b/src/request/AgentAdmission.h
@@ -20,11 +20,14 @@
 public:
     AgentAdmission(const AdmissionSettings& settings, std::uint64_t seed);
 
+    /// Other settings for all that follows; what waits keeps its place.
+    AdmissionActions configure(const AdmissionSettings& settings, AdmissionTime now);
+
     /// The slots that the backend server announces; begins slow start the first time.
     AdmissionActions setSlots(std::uint32_t slots, AdmissionTime now);
 
     void setPeers(const std::vector<std::uint32_t>& peers) { m_peers.setPeers(peers); }
-    void heardLoad(std::uint32_t peer, SlotLoad load) { m_peers.heard(peer, load); }
+    void heardLoad(std::uint32_t peer, SlotLoad load, AdmissionTime now) { m_peers.heard(peer, load, now); }
 
     AdmissionActions arrive(const AdmissionRequest& request, AdmissionTime now);
 
@@ -64,18 +67,18 @@
     SlotUse use(AdmissionTime now) const;
     bool isLong(AdmissionTime duration) const;
     AdmissionTime expectedWait(const Waiting& newcomer, AdmissionTime now) const;
-    AdmissionReason reasonToRefuse(const Waiting& waiting, AdmissionTime now) const;
+    RequestReason reasonToRefuse(const Waiting& waiting, AdmissionTime now) const;
     void makeRoom(const Waiting& waiting, AdmissionTime now, AdmissionActions& actions);
     void enqueue(Waiting waiting, AdmissionTime now, AdmissionActions& actions);
-    bool offer(Waiting& waiting, AdmissionActions& actions);
+    bool offer(Waiting& waiting, AdmissionTime now, AdmissionActions& actions);
     void dispatch(Waiting waiting, AdmissionTime now, AdmissionActions& actions);
     void dispatchWaiting(AdmissionTime now, AdmissionActions& actions);
     void retry(Waiting waiting, AttemptOutcome outcome, AdmissionTime now, AdmissionActions& actions);
-    void refuse(const Waiting& waiting, AdmissionReason reason, AdmissionTime now, AdmissionActions& actions) const;
+    void refuse(const Waiting& waiting, RequestReason reason, AdmissionTime now, AdmissionActions& actions) const;
     void hedgeOrCancel(Attempt& attempt, AdmissionTime now, AdmissionActions& actions);
     AdmissionTime hedgeDue(const Attempt& attempt) const;
 
-    const AdmissionSettings m_settings;
+    AdmissionSettings m_settings;
     ServiceTimeEstimate m_estimate;
     ConcurrencyLimit m_limit;
     RetryBudget m_retries;
--- a/src/request/ConcurrencyLimit.cpp
+++ b/src/request/ConcurrencyLimit.cpp
@@ -21,6 +21,14 @@
 {
 }
 
+void ConcurrencyLimit::configure(AdmissionTime slowStart, bool learns)
+{
+    m_slowStart = slowStart;
+    m_learns = learns;
+    if (!learns)
+        m_limit = m_slots;
+}
+
 void ConcurrencyLimit::setSlots(std::uint32_t slots, AdmissionTime now)
 {
     if (slots == m_slots)
--- a/src/request/ConcurrencyLimit.h
+++ b/src/request/ConcurrencyLimit.h
@@ -12,6 +12,8 @@
 public:
     ConcurrencyLimit(AdmissionTime slowStart, bool learns);
 
+    void configure(AdmissionTime slowStart, bool learns);
+
     /// Begins slow start when the backend server was unknown before.
     void setSlots(std::uint32_t slots, AdmissionTime now);
 
@@ -30,8 +32,8 @@
 private:
     void endSample(std::uint32_t running);
 
-    const AdmissionTime m_slowStart;
-    const bool m_learns;
+    AdmissionTime m_slowStart;
+    bool m_learns;
     std::uint32_t m_slots = 0;
     AdmissionTime m_started {};
     double m_limit = 0;
--- a/src/request/PeerOffer.h
+++ b/src/request/PeerOffer.h
@@ -34,17 +34,22 @@
     /// The agents of the same service that take new work, without this one.
     void setPeers(const std::vector<std::uint32_t>& peers);
 
-    void heard(std::uint32_t peer, SlotLoad load);
+    void heard(std::uint32_t peer, SlotLoad load, AdmissionTime now);
 
-    /// Nothing when both candidates are known to have queues.
-    std::optional<std::uint32_t> choose();
+    /// Nothing when the better candidate is known to have a queue. What was heard long ago counts as unknown.
+    std::optional<std::uint32_t> choose(AdmissionTime now);
 
 private:
-    bool better(std::uint32_t left, std::uint32_t right) const;
+    struct Heard {
+        SlotLoad load;
+        AdmissionTime at {};
+    };
+
+    SlotLoad loadOf(std::uint32_t peer, AdmissionTime now) const;
 
     std::mt19937_64 m_random;
     std::vector<std::uint32_t> m_peers;
-    std::map<std::uint32_t, SlotLoad> m_loads;
+    std::map<std::uint32_t, Heard> m_heard;
 };
 
 } // namespace yuccahook::request
--- a/src/request/SlotQueue.cpp
+++ b/src/request/SlotQueue.cpp
@@ -80,11 +80,13 @@
 
 } // namespace
 
-SlotQueue::SlotQueue(const AdmissionSettings& settings)
-    : m_minimumShare(settings.minimumShare)
-    , m_longYields(settings.discipline != Discipline::FirstInFirstOut)
-    , m_discipline(makeDiscipline(settings))
+SlotQueue::SlotQueue(const AdmissionSettings& settings) { configure(settings); }
+
+void SlotQueue::configure(const AdmissionSettings& settings)
 {
+    m_minimumShare = settings.minimumShare;
+    m_longYields = settings.discipline != Discipline::FirstInFirstOut;
+    m_discipline = makeDiscipline(settings);
 }
 
 void SlotQueue::push(Waiting waiting)
--- a/src/request/SlotQueue.h
+++ b/src/request/SlotQueue.h
@@ -59,6 +59,8 @@
 public:
     explicit SlotQueue(const AdmissionSettings& settings);
 
+    void configure(const AdmissionSettings& settings);
+
     void push(Waiting waiting);
     bool erase(std::uint64_t id);
 
@@ -87,8 +89,8 @@
     bool isUnderserved(std::uint8_t priority) const;
     void charge(const Waiting& chosen);
 
-    const double m_minimumShare;
-    const bool m_longYields;
+    double m_minimumShare = 0;
+    bool m_longYields = false;
     std::unique_ptr<SlotDiscipline> m_discipline;
     WaitingList m_waiting;
     std::unordered_map<std::uint8_t, double> m_usedByPriority; // slot time, fading
--- a/tests/request/AgentAdmissionTest.cpp
+++ b/tests/request/AgentAdmissionTest.cpp
@@ -52,7 +52,7 @@
 TEST_CASE("An agent dispatches no more than the slots and queues the rest")
 {
     AgentAdmission admission({}, 1);
-    CHECK(admission.arrive(statusQuery(1), 0ns).front().reason == AdmissionReason::NoSlots);
+    CHECK(admission.arrive(statusQuery(1), 0ns).front().reason == RequestReason::BackendUnreachable);
     admission.setSlots(2, 0ns);
     CHECK(only(admission.arrive(statusQuery(2), 0ns)) == AdmissionActionKind::Dispatch);
     CHECK(only(admission.arrive(statusQuery(3), 0ns)) == AdmissionActionKind::Dispatch);
@@ -76,8 +76,8 @@
     }
     SUBCASE("A drain refuses what waits and what comes, and leaves what runs")
     {
-        CHECK(admission.drain(1ms).front().reason == AdmissionReason::Draining);
-        CHECK(admission.arrive(statusQuery(5), 1ms).front().reason == AdmissionReason::Draining);
+        CHECK(admission.drain(1ms).front().reason == RequestReason::Draining);
+        CHECK(admission.arrive(statusQuery(5), 1ms).front().reason == RequestReason::Draining);
         CHECK(admission.finish(2, AttemptOutcome::Answered, 2ms).empty());
         CHECK(admission.load().running == 1);
     }
@@ -96,7 +96,7 @@
         late.deadline = 100ms;
         const auto actions = admission.arrive(late, 0ns);
         REQUIRE(only(actions) == AdmissionActionKind::Refuse);
-        CHECK(actions.front().reason == AdmissionReason::DeadlineUnreachable);
+        CHECK(actions.front().reason == RequestReason::DeadlineUnmeetable);
         CHECK(actions.front().retryAfter > 0ns);
     }
     SUBCASE("In the queue, when waiting has used its time up")
@@ -107,14 +107,14 @@
         CHECK(admission.nextDue(0ns) < 500ms);
         const auto actions = admission.advance(admission.nextDue(0ns));
         REQUIRE(only(actions) == AdmissionActionKind::Refuse);
-        CHECK(actions.front().reason == AdmissionReason::QueueTimeout);
+        CHECK(actions.front().reason == RequestReason::DeadlineInQueue);
     }
     SUBCASE("When others wait for longer than the service allows")
     {
         AdmissionActions actions;
         for (std::uint64_t id = 2; actions.empty(); ++id)
             actions = admission.arrive(statusQuery(id), 0ns);
-        CHECK(actions.front().reason == AdmissionReason::QueueFull);
+        CHECK(actions.front().reason == RequestReason::QueueFull);
     }
 }
 
@@ -161,11 +161,11 @@
     {
         auto offered = order(3);
         offered.offered = true;
-        CHECK(admission.arrive(offered, 0ns).front().reason == AdmissionReason::PeerBusy);
+        CHECK(admission.arrive(offered, 0ns).front().reason == RequestReason::ConcurrencyLimit);
     }
     SUBCASE("A peer with a queue is not asked")
     {
-        admission.heardLoad(7, { 3, 0, 4, 3 });
+        admission.heardLoad(7, { 3, 0, 4, 3 }, 0ns);
         CHECK(admission.arrive(order(3), 0ns).empty());
     }
 }
@@ -203,7 +203,7 @@
         admission.arrive(statusQuery(1), 0ns);
         admission.finish(1, AttemptOutcome::NotRun, 1ms);
         admission.arrive(statusQuery(2), 2ms);
-        CHECK(admission.finish(2, AttemptOutcome::NotRun, 3ms).front().reason == AdmissionReason::RetryBudgetSpent);
+        CHECK(admission.finish(2, AttemptOutcome::NotRun, 3ms).front().reason == RequestReason::RetryBudgetSpent);
     }
 }
 
@@ -259,7 +259,7 @@
     std::set<std::uint64_t> displaced;
     for (int count = 0; count < 30; ++count) {
         for (const auto& action : admission.arrive(order(++id), 0ns)) {
-            if (action.reason == AdmissionReason::Displaced)
+            if (action.reason == RequestReason::LowPriority)
                 displaced.insert(action.id);
         }
     }
