--- a/src/roles/AgentTraffic.cpp
+++ b/src/roles/AgentTraffic.cpp
@@ -29,6 +29,7 @@
 public:
     explicit Node(AgentTraffic& traffic)
         : m_streams(traffic.m_streams.trunk())
+        , m_requests(traffic.m_requests.peer())
     {
     }
 
@@ -38,8 +39,15 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> requests(RequestsContext context) override
+    {
+        context.getResults().setPeer(m_requests);
+        return kj::READY_NOW;
+    }
+
 private:
     schema::StreamTrunk::Client m_streams;
+    schema::RequestPeer::Client m_requests;
 };
 
 AgentTraffic::AgentTraffic(std::string name, const settings::AgentSettings& settings, net::Loop& loop,
@@ -50,7 +58,8 @@
     , m_counters(counters)
     , m_openFlows(openFlows)
     , m_flows(settings.maximumFlows)
-    , m_streams(loop, counters, m_flows)
+    , m_requests(loop, counters)
+    , m_streams(loop, counters, m_flows, m_requests)
     , m_trunk(net::DatagramSocket::bound(settings.trunk))
 {
     KJ_REQUIRE(m_trunk != nullptr, "trunk address unavailable", settings.trunk.text().c_str());
@@ -85,6 +94,7 @@
     m_member = findSelf();
     m_flows.setMembership(m_membership, m_member);
     m_streams.setMembership(m_membership, m_member);
+    m_requests.setMembership(m_membership, m_member);
 }
 
 std::uint32_t AgentTraffic::findSelf() const
@@ -100,6 +110,7 @@
 {
     m_backend = address;
     m_streams.setBackend(address);
+    m_requests.setBackend(address);
 }
 
 void AgentTraffic::drain()
--- a/src/roles/AgentTraffic.h
+++ b/src/roles/AgentTraffic.h
@@ -5,6 +5,7 @@
 #include "net/LoopThread.h"
 #include "net/TrunkDatagram.h"
 #include "observe/Counters.h"
+#include "roles/AgentRequests.h"
 #include "roles/AgentStreams.h"
 #include "settings/Settings.h"
 
@@ -69,6 +70,7 @@
     observe::Counters& m_counters;
     std::atomic<std::uint64_t>& m_openFlows;
     flow::AgentFlows m_flows;
+    AgentRequests m_requests;
     AgentStreams m_streams;
     flow::MembershipPointer m_membership;
     std::uint64_t m_incarnation = 0;
