--- a/bench/AdmissionModel.cpp
+++ b/bench/AdmissionModel.cpp
@@ -318,8 +318,9 @@
             return;
         for (std::uint32_t from = 0; from < m_options.targets; ++from) {
             for (std::uint32_t to = 0; to < m_options.targets; ++to)
-                m_clock.after(m_options.oneWay,
-                    [this, from, to, load = loadOf(from)] { m_agents[to].admission->heardLoad(from, load, m_clock.now()); });
+                m_clock.after(m_options.oneWay, [this, from, to, load = loadOf(from)] {
+                    m_agents[to].admission->heardLoad(from, load, m_clock.now());
+                });
         }
         m_clock.after(m_options.loadInterval, [this] { spreadLoads(); });
     }
--- a/src/request/AgentAdmission.cpp
+++ b/src/request/AgentAdmission.cpp
@@ -237,8 +237,8 @@
     if (!peer)
         return false;
     waiting.peerAsked = true;
-    actions.push_back({ AdmissionActionKind::Offer, waiting.request.id, RequestReason::None, *peer, {},
-        waiting.request.mayHaveRun });
+    actions.push_back(
+        { AdmissionActionKind::Offer, waiting.request.id, RequestReason::None, *peer, {}, waiting.request.mayHaveRun });
     m_offered[waiting.request.id].waiting = std::move(waiting);
     return true;
 }
--- a/standins/Fabric.cpp
+++ b/standins/Fabric.cpp
@@ -92,7 +92,8 @@
         const auto any = *net::Address::parseHost("127.0.0.1", 0);
         auto& socket
             = entrance.towardsBalancers.emplace(caller, observed(net::DatagramSocket::bound(any))).first->second;
-        m_tasks.add(fromBalancers(entrance, caller, socket));
+        // Later: this runs inside a batch of received datagrams, which the thread's sockets share.
+        m_tasks.add(kj::evalLater([this, &entrance, caller, &socket] { return fromBalancers(entrance, caller, socket); }));
         return socket;
     }
 
