--- a/src/roles/Agent.cpp
+++ b/src/roles/Agent.cpp
@@ -96,7 +96,8 @@
         return { 422, "application/json", nlohmann::json { { "faults", list } }.dump() };
     }
     announcement.agent = m_settings.name;
-    announcement.trunk = m_settings.agent->trunk;
+    const auto& agent = *m_settings.agent;
+    announcement.trunk = agent.announcedTrunk.isSet() ? agent.announcedTrunk : agent.trunk;
     announcement.domain = m_settings.domain;
     const std::lock_guard lock(m_mutex);
     const bool sameServer = m_announcement && m_announcement->service == announcement.service;
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -30,6 +30,7 @@
 void readAgent(ObjectReader& reader, AgentSettings& agent)
 {
     reader.address("trunk", agent.trunk, true);
+    reader.address("announcedTrunk", agent.announcedTrunk);
     reader.integer("maximumFlows", agent.maximumFlows, 1, maximumFlowsBound);
     reader.integer("leaveSeconds", agent.leaveSeconds, 0, maximumLeaveSeconds);
 }
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -27,6 +27,8 @@
 
 struct AgentSettings {
     net::Address trunk; ///< UDP and TCP, for balancers and other agents.
+    net::Address
+        announcedTrunk; ///< Where others reach the trunk when an address translation lies between; unset: `trunk`.
     std::uint32_t maximumFlows = 20'000;
     std::uint32_t leaveSeconds = 30; ///< Longest wait for open flows in a planned stop.
 };
--- a/standins/Backend.cpp
+++ b/standins/Backend.cpp
@@ -1,5 +1,7 @@
 #include "Backend.h"
 
+#include "Record.h"
+
 #include "net/DatagramSocket.h"
 #include "net/HttpCall.h"
 
@@ -14,6 +16,7 @@
 #include <kj/debug.h>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <unordered_set>
 
 namespace yuccahook::standins {
 
@@ -21,6 +24,9 @@
 
 constexpr auto announceInterval = std::chrono::milliseconds(500);
 constexpr auto announceTimeout = std::chrono::seconds(2);
+constexpr int crashExitCode = 3;
+constexpr int crashSignal = SIGUSR2;
+constexpr int drainSignal = SIGHUP;
 
 struct BackendOptions {
     std::string name;
@@ -28,6 +34,7 @@
     std::uint64_t serviceMillis;
     bool shed;
     std::string recordPath;
+    std::string workRecordPath;
 };
 
 /// The HTTP side: at most `slots` requests at once, the others wait or are refused.
@@ -35,6 +42,7 @@
 public:
     EchoService(BackendOptions options, kj::Timer& timer, kj::HttpHeaderTable::Builder& headers)
         : m_options(std::move(options))
+        , m_work(m_options.workRecordPath)
         , m_timer(timer)
         , m_keyHeader(headers.add("Idempotency-Key"))
         , m_workHeader(headers.add("X-Work-Ms"))
@@ -60,13 +68,22 @@
             return takeSlot().then([this, method, millis, key, target, &response, text = kj::mv(text)]() mutable {
                 if (method != kj::HttpMethod::GET && m_record.is_open())
                     m_record << key << std::endl;
+                m_work.write({ { "event", "began" }, { "key", key }, { "target", target } });
                 return m_timer.afterDelay(static_cast<std::int64_t>(millis) * kj::MILLISECONDS)
                     .then([this, target, &response, text = kj::mv(text)] { return answer(target, text, response); })
+                    .then([this, key] {
+                        m_work.write({ { "event", "ended" }, { "key", key } });
+                    })
                     .attach(kj::defer([this] { leaveSlot(); }));
             });
         });
     }
 
+    /// Ends the process in the middle of the next answer.
+    void crashInNextAnswer() { m_crashNext = true; }
+
+    Record& work() { return m_work; }
+
 private:
     kj::Promise<void> takeSlot()
     {
@@ -98,11 +115,17 @@
         kj::HttpHeaders headers(m_table);
         headers.set(kj::HttpHeaderId::CONTENT_TYPE, "text/plain");
         auto out = response.send(200, "OK", headers, body.size());
+        if (m_crashNext) {
+            auto half = out->write(body.begin(), body.size() / 2);
+            return half.then([] { std::_Exit(crashExitCode); }).attach(kj::mv(out), kj::mv(body));
+        }
         auto written = out->write(body.begin(), body.size());
         return written.attach(kj::mv(out), kj::mv(body));
     }
 
     const BackendOptions m_options;
+    Record m_work;
+    bool m_crashNext = false;
     kj::Timer& m_timer;
     kj::HttpHeaderId m_keyHeader;
     kj::HttpHeaderId m_workHeader;
@@ -112,11 +135,49 @@
     std::deque<kj::Own<kj::PromiseFulfiller<void>>> m_waiting;
 };
 
+/// Serves each connection and records that it was taken.
+class StreamAcceptor final : private kj::TaskSet::ErrorHandler {
+public:
+    StreamAcceptor(kj::Own<kj::ConnectionReceiver> receiver, kj::HttpServer& server, Record& work)
+        : m_receiver(kj::mv(receiver))
+        , m_server(server)
+        , m_work(work)
+        , m_serving(*this)
+    {
+    }
+
+    kj::Promise<void> accept()
+    {
+        return m_receiver->accept().then([this](kj::Own<kj::AsyncIoStream> stream) {
+            m_work.write({ { "event", "connection" }, { "number", ++m_taken } });
+            m_serving.add(m_server.listenHttp(kj::mv(stream)));
+            return accept();
+        });
+    }
+
+private:
+    void taskFailed(kj::Exception&&) override { }
+
+    kj::Own<kj::ConnectionReceiver> m_receiver;
+    kj::HttpServer& m_server;
+    Record& m_work;
+    std::uint64_t m_taken = 0;
+    kj::TaskSet m_serving;
+};
+
+/// The datagram flows that a backend server has seen, by the agent's socket.
+struct Flows {
+    Record& work;
+    std::unordered_set<net::Address> seen;
+};
+
 // Answers each datagram with the backend's name and the datagram's own bytes.
 kj::Promise<void> echoDatagrams(
-    net::DatagramSocket& socket, kj::UnixEventPort::FdObserver& observer, const std::string& name)
+    net::DatagramSocket& socket, kj::UnixEventPort::FdObserver& observer, const std::string& name, Flows& flows)
 {
     while (socket.receive([&](const net::Address& from, net::Bytes payload) {
+        if (flows.seen.insert(from).second)
+            flows.work.write({ { "event", "flow" }, { "from", from.text() } });
         std::vector<std::uint8_t> answer(name.begin(), name.end());
         answer.push_back('|');
         answer.insert(answer.end(), payload.begin(), payload.end());
@@ -124,16 +185,17 @@
     }) > 0)
         socket.flush();
     return observer.whenBecomesReadable().then(
-        [&socket, &observer, &name] { return echoDatagrams(socket, observer, name); });
+        [&socket, &observer, &name, &flows] { return echoDatagrams(socket, observer, name, flows); });
 }
 
-void keepAnnounced(const Options& options, const std::atomic<bool>& stopping)
+void keepAnnounced(const Options& options, const std::atomic<bool>& stopping, const std::atomic<bool>& draining)
 {
     std::this_thread::sleep_for(std::chrono::milliseconds(options.number("cold-start-ms", 0)));
-    const nlohmann::json body { { "service", options.text("service") }, { "address", options.text("listen") },
+    nlohmann::json body { { "service", options.text("service") }, { "address", options.text("listen") },
         { "slots", options.number("slots", 7) }, { "connections", options.number("connections", 2000) } };
     const auto agent = options.address("agent");
     while (!stopping) {
+        body["draining"] = draining.load();
         net::httpCall(agent, { "POST", "/announce", "", body.dump() }, announceTimeout);
         std::this_thread::sleep_for(announceInterval);
     }
@@ -143,12 +205,13 @@
 
 int runBackend(const Options& options)
 {
-    kj::UnixEventPort::captureSignal(SIGTERM);
+    for (const int signal : { SIGTERM, crashSignal, drainSignal })
+        kj::UnixEventPort::captureSignal(signal);
     auto io = kj::setupAsyncIo();
     const std::string name = options.text("name", "backend");
     kj::HttpHeaderTable::Builder headers;
     EchoService service({ name, options.number("slots", 7), options.number("service-ms", 5),
-                            options.number("shed", 0) != 0, options.text("record") },
+                            options.number("shed", 0) != 0, options.text("record"), options.text("work-record") },
         io.provider->getTimer(), headers);
     const auto table = headers.build();
     kj::HttpServer server(io.provider->getTimer(), *table, service);
@@ -160,10 +223,19 @@
     KJ_REQUIRE(datagrams != nullptr, "cannot bind");
     kj::UnixEventPort::FdObserver observer(
         io.unixEventPort, datagrams->descriptor(), kj::UnixEventPort::FdObserver::OBSERVE_READ);
-    const auto echo = echoDatagrams(*datagrams, observer, name).eagerlyEvaluate(nullptr);
+    Flows flows { service.work(), {} };
+    const auto echo = echoDatagrams(*datagrams, observer, name, flows).eagerlyEvaluate(nullptr);
     std::atomic<bool> stopping = false;
-    std::thread announcer([&] { keepAnnounced(options, stopping); });
-    server.listenHttp(*receiver).exclusiveJoin(io.unixEventPort.onSignal(SIGTERM).ignoreResult()).wait(io.waitScope);
+    std::atomic<bool> draining = false;
+    const auto crash = io.unixEventPort.onSignal(crashSignal)
+                           .then([&service](auto&&) { service.crashInNextAnswer(); })
+                           .eagerlyEvaluate(nullptr);
+    const auto drain = io.unixEventPort.onSignal(drainSignal)
+                           .then([&draining](auto&&) { draining = true; })
+                           .eagerlyEvaluate(nullptr);
+    std::thread announcer([&] { keepAnnounced(options, stopping, draining); });
+    StreamAcceptor acceptor(kj::mv(receiver), server, service.work());
+    acceptor.accept().exclusiveJoin(io.unixEventPort.onSignal(SIGTERM).ignoreResult()).wait(io.waitScope);
     stopping = true;
     announcer.join();
     return 0;
--- a/standins/Caller.cpp
+++ b/standins/Caller.cpp
@@ -1,5 +1,7 @@
 #include "Caller.h"
 
+#include "Record.h"
+
 #include "net/DatagramSocket.h"
 
 #include <fstream>
@@ -17,8 +19,11 @@
 namespace {
 
 constexpr auto answerTimeout = 10 * kj::SECONDS;
+constexpr unsigned okStatus = 200;
 constexpr auto datagramGrace = 500 * kj::MILLISECONDS;
 constexpr std::uint64_t tolerableLossPercent = 1; // datagrams may be lost, as on any network
+constexpr std::uint64_t unlimitedSeconds = 1'000'000;
+constexpr std::uint64_t maximumAttempts = 20; // of a request whose outcome stays unknown
 
 /// What all callers saw.
 struct Tally {
@@ -64,6 +69,17 @@
     std::uint64_t postPercent;
     std::string expect;
     std::ofstream acknowledged;
+    Record record;
+    bool resend;
+    double connectionSeconds;
+};
+
+/// A request as its caller knows it.
+struct Request {
+    std::string key;
+    bool post = false;
+    std::uint64_t attempt = 0;
+    double began = 0; ///< Wall time of this attempt.
 };
 
 /// Sends one request after another on a connection for as long as it lasts, then takes another.
@@ -92,6 +108,9 @@
             .then([this](auto stream) {
                 ++m_run.tally.connections;
                 m_stream = kj::mv(stream);
+                m_connectionBegan = wallSeconds();
+                m_established = false;
+                m_ending = false;
                 m_client = kj::newHttpClient(m_table, *m_stream);
                 return requests();
             })
@@ -99,6 +118,7 @@
                 const bool disconnected = exception.getType() == kj::Exception::Type::DISCONNECTED;
                 const bool between = !m_requestSent || (disconnected && !m_answerBegan);
                 ++(between ? m_run.tally.closedBetween : m_run.tally.broken);
+                recordOutcome(between ? "unanswered" : "broken", exception.getDescription().cStr());
                 if (!between)
                     std::cerr << "caller " << m_id << ": " << exception.getDescription().cStr() << '\n';
             })
@@ -113,7 +133,8 @@
 private:
     kj::Promise<void> requests()
     {
-        if (m_run.timer.now() >= m_run.end)
+        const bool old = wallSeconds() - m_connectionBegan >= m_run.connectionSeconds;
+        if (m_run.timer.now() >= m_run.end || old || m_ending)
             return kj::READY_NOW;
         return m_run.timer.timeoutAfter(answerTimeout, requestOnce())
             .then([this] { return m_run.timer.afterDelay(m_run.interval); })
@@ -122,8 +143,16 @@
 
     kj::Promise<void> requestOnce()
     {
-        const bool post = m_run.random() % 100 < m_run.postPercent;
-        const std::string key = std::to_string(m_id) + "-" + std::to_string(++m_sequence);
+        const bool resent = m_run.resend && m_unknown && m_request.post && m_request.attempt < maximumAttempts;
+        if (!resent) {
+            const bool post = m_run.random() % 100 < m_run.postPercent;
+            m_request = { std::to_string(m_id) + "-" + std::to_string(++m_sequence), post, 0, 0 };
+        }
+        m_inProgress = true;
+        ++m_request.attempt;
+        m_request.began = wallSeconds();
+        const std::string key = m_request.key;
+        const bool post = m_request.post;
         const std::string path = "/caller/" + key;
         const std::string text = post ? "body of " + key : "";
         const auto method = post ? kj::HttpMethod::POST : kj::HttpMethod::GET;
@@ -144,6 +173,8 @@
             .then([this, tail, key, post](kj::HttpClient::Response&& response) {
                 m_answerBegan = true;
                 const auto status = response.statusCode;
+                KJ_IF_MAYBE (connection, response.headers->get(kj::HttpHeaderId::CONNECTION))
+                    m_ending = *connection == "close";
                 return response.body->readAllText()
                     .attach(kj::mv(response.body))
                     .then([this, tail, key, post, status](
@@ -155,18 +186,46 @@
     void check(const std::string& body, const std::string& tail, const std::string& key, bool post, unsigned status)
     {
         m_answerBegan = false;
-        if (status != 200) {
+        if (status != okStatus) {
             ++m_run.tally.refused;
+            recordOutcome("refused", body, status);
             std::cerr << "caller " << m_id << ": status " << status << ": " << body << '\n';
             return;
         }
         ++m_run.tally.answered;
-        if (!body.ends_with(tail) || !body.starts_with(m_run.expect))
+        const bool right = body.ends_with(tail) && body.starts_with(m_run.expect);
+        if (!right)
             ++m_run.tally.wrong;
+        m_backend = body.substr(0, body.find('|'));
+        recordOutcome(right ? "answered" : "wrong", right ? "" : body, status);
+        m_established = true;
         if (post && m_run.acknowledged.is_open())
             m_run.acknowledged << key << std::endl;
     }
 
+    // Ends the request in progress, if there is one.
+    void recordOutcome(std::string_view outcome, const std::string& text, unsigned status = 0)
+    {
+        if (!std::exchange(m_inProgress, false))
+            return;
+        m_unknown = outcome == "broken" || outcome == "unanswered";
+        m_run.record.write({ { "outcome", outcome }, { "key", m_request.key }, { "post", m_request.post },
+            { "attempt", m_request.attempt }, { "began", m_request.began }, { "from", localAddress() },
+            { "connectionBegan", m_connectionBegan }, { "established", m_established },
+            { "backend", m_established || status == okStatus ? m_backend : "" }, { "status", status },
+            { "text", text } });
+    }
+
+    std::string localAddress()
+    {
+        if (!m_stream)
+            return "";
+        sockaddr_storage storage {};
+        kj::uint length = sizeof(storage);
+        m_stream->getsockname(reinterpret_cast<sockaddr*>(&storage), &length);
+        return net::Address::fromSocket(storage).text();
+    }
+
     Run& m_run;
     const net::Address m_address;
     const std::uint64_t m_id;
@@ -175,8 +234,15 @@
     kj::Own<kj::AsyncIoStream> m_stream;
     kj::Own<kj::HttpClient> m_client;
     std::uint64_t m_sequence = 0;
+    Request m_request;
+    bool m_inProgress = false;
+    bool m_unknown = false; // whether the last request ended without an outcome
     bool m_answerBegan = false;
     bool m_requestSent = false;
+    double m_connectionBegan = 0;
+    bool m_ending = false; // whether the last answer said that the connection ends
+    bool m_established = false; // whether the connection has had an answer
+    std::string m_backend; // that gave the last answer
 };
 
 /// Sends numbered datagrams from one socket and checks that one backend server answers them all.
@@ -201,6 +267,8 @@
                     ++m_run.tally.flowsSilent;
                 if (m_moved)
                     ++m_run.tally.flowsMoved;
+                m_run.record.write({ { "event", "flow" }, { "id", m_id }, { "backends", m_backends },
+                    { "lastAnswer", m_lastAnswer } });
             });
         }
         const std::string text = std::to_string(m_id) + "-" + std::to_string(++m_sequence);
@@ -225,14 +293,19 @@
         if (!backend.starts_with(m_run.expect) || !answer.substr(backend.size() + 1).starts_with(mine))
             ++m_run.tally.misrouted;
         m_moved = m_moved || (!m_backend.empty() && m_backend != backend);
+        if (m_backend != backend)
+            m_backends.push_back({ { "name", backend }, { "since", wallSeconds() }, { "text", answer } });
         m_backend = backend;
+        m_lastAnswer = wallSeconds();
     }
 
     Run& m_run;
     const std::uint64_t m_id;
+    double m_lastAnswer = 0;
     std::unique_ptr<net::DatagramSocket> m_socket;
     std::uint64_t m_sequence = 0;
     std::string m_backend;
+    nlohmann::json m_backends = nlohmann::json::array(); // each change of backend server
     bool m_moved = false;
 };
 
@@ -245,7 +318,8 @@
     const auto end = timer.now() + static_cast<std::int64_t>(options.number("seconds", 5)) * kj::SECONDS;
     const auto interval = static_cast<std::int64_t>(options.number("interval-ms", 20)) * kj::MILLISECONDS;
     Run run { io, timer, {}, std::mt19937_64(options.number("seed", 1)), interval, end,
-        options.number("post-percent", 30), options.text("expect"), {} };
+        options.number("post-percent", 30), options.text("expect"), {}, Record(options.text("record")),
+        options.number("resend", 0) != 0, static_cast<double>(options.number("connection-seconds", unlimitedSeconds)) };
     if (!options.text("acknowledged").empty())
         run.acknowledged.open(options.text("acknowledged"), std::ios::app);
     kj::HttpHeaderTable::Builder headers;
--- a/standins/Fabric.cpp
+++ b/standins/Fabric.cpp
@@ -1,5 +1,7 @@
 #include "Fabric.h"
 
+#include "Record.h"
+
 #include "net/DatagramSocket.h"
 
 #include <csignal>
@@ -14,6 +16,9 @@
 
 namespace {
 
+constexpr int silenceSignal = SIGUSR2;
+constexpr std::size_t carrierBytes = 16 << 10;
+
 /// An address that callers use, and the balancers' addresses behind it.
 struct Mapping {
     net::Address listen;
@@ -35,12 +40,14 @@
         : m_io(io)
         , m_random(options.number("seed", 1))
         , m_losePercent(options.number("lose-percent", 0))
+        , m_record(options.text("record"))
         , m_tasks(*this)
     {
         for (const auto& text : options.all("datagram"))
             openDatagrams(parseMapping(text));
         for (const auto& text : options.all("stream"))
             openStreams(parseMapping(text));
+        m_tasks.add(silenceAtSignal());
     }
 
 private:
@@ -49,12 +56,41 @@
         kj::Own<kj::UnixEventPort::FdObserver> observer;
     };
 
+    /// One direction of a connection.
+    struct Carrier {
+        std::uint64_t silences; ///< How many there had been when the connection began.
+        kj::byte bytes[carrierBytes];
+    };
+
     struct Entrance {
         Mapping mapping;
         Socket callers;
         std::map<net::Address, Socket> towardsBalancers; // one for each caller, which is its address there
     };
 
+    // What is open goes silent for good, as when something on the way has lost track of it; new connections work.
+    kj::Promise<void> silenceAtSignal()
+    {
+        return m_io.unixEventPort.onSignal(silenceSignal).then([this](auto&&) {
+            m_record.write({ { "event", "silenced" }, { "connections", m_connections } });
+            ++m_silences;
+            return silenceAtSignal();
+        });
+    }
+
+    // Passes bytes on until the connection has gone silent; from then on swallows them and never ends.
+    kj::Promise<void> carry(Carrier& carrier, kj::AsyncInputStream& from, kj::AsyncOutputStream& to)
+    {
+        return from.tryRead(carrier.bytes, 1, sizeof(carrier.bytes))
+            .then([this, &carrier, &from, &to](std::size_t count) -> kj::Promise<void> {
+                const bool silent = carrier.silences != m_silences;
+                if (count == 0)
+                    return silent ? kj::Promise<void>(kj::NEVER_DONE) : kj::Promise<void>(kj::READY_NOW);
+                auto passed = silent ? kj::Promise<void>(kj::READY_NOW) : to.write(carrier.bytes, count);
+                return passed.then([this, &carrier, &from, &to] { return carry(carrier, from, to); });
+            });
+    }
+
     Socket observed(std::unique_ptr<net::DatagramSocket> socket)
     {
         KJ_REQUIRE(socket != nullptr, "cannot bind");
@@ -123,9 +159,13 @@
     kj::Promise<void> accept(kj::ConnectionReceiver& receiver, Mapping mapping)
     {
         return receiver.accept().then([this, &receiver, mapping = std::move(mapping)](auto caller) mutable {
-            m_tasks.add(connectAny(mapping.balancers).then([this, caller = kj::mv(caller)](auto balancer) mutable {
-                return join(kj::mv(caller), kj::mv(balancer));
-            }));
+            const std::string from = peerOf(*caller);
+            m_tasks.add(
+                connectAny(mapping.balancers).then([this, from, caller = kj::mv(caller)](auto balancer) mutable {
+                    ++m_connections;
+                    m_record.write({ { "event", "joined" }, { "from", from }, { "to", peerOf(*balancer) } });
+                    return join(kj::mv(caller), kj::mv(balancer));
+                }));
             return accept(receiver, std::move(mapping));
         });
     }
@@ -148,12 +188,34 @@
         auto& right = *balancer;
         auto failed = kj::newPromiseAndFulfiller<void>(); // one direction's failure ends both
         auto fulfiller = kj::heap(kj::mv(failed.fulfiller));
-        const auto fail = [&end = **fulfiller](kj::Exception&&) { end.fulfill(); };
-        auto there = left.pumpTo(right).then([&right](std::uint64_t) { right.shutdownWrite(); }).eagerlyEvaluate(fail);
-        auto back = right.pumpTo(left).then([&left](std::uint64_t) { left.shutdownWrite(); }).eagerlyEvaluate(fail);
+        auto carriers = kj::heapArray<Carrier>(2);
+        carriers[0].silences = carriers[1].silences = m_silences;
+        // A failure on a silent connection is swallowed too: neither end learns of the other's.
+        const auto fail = [this, began = m_silences, &end = **fulfiller](kj::Exception&&) -> kj::Promise<void> {
+            if (began != m_silences)
+                return kj::NEVER_DONE;
+            end.fulfill();
+            return kj::READY_NOW;
+        };
+        auto there = carry(carriers[0], left, right)
+                         .then([&right] { right.shutdownWrite(); })
+                         .catch_(kj::cp(fail))
+                         .eagerlyEvaluate(nullptr);
+        auto back = carry(carriers[1], right, left)
+                        .then([&left] { left.shutdownWrite(); })
+                        .catch_(kj::cp(fail))
+                        .eagerlyEvaluate(nullptr);
         return kj::joinPromises(kj::arr(kj::mv(there), kj::mv(back)))
             .exclusiveJoin(kj::mv(failed.promise))
-            .attach(kj::mv(fulfiller), kj::mv(caller), kj::mv(balancer));
+            .attach(kj::mv(fulfiller), kj::mv(carriers), kj::mv(caller), kj::mv(balancer));
+    }
+
+    static std::string peerOf(kj::AsyncIoStream& stream)
+    {
+        sockaddr_storage storage {};
+        kj::uint length = sizeof(storage);
+        stream.getpeername(reinterpret_cast<sockaddr*>(&storage), &length);
+        return net::Address::fromSocket(storage).text();
     }
 
     void taskFailed(kj::Exception&&) override { }
@@ -161,6 +223,9 @@
     kj::AsyncIoContext& m_io;
     std::mt19937_64 m_random;
     const std::uint64_t m_losePercent;
+    Record m_record;
+    std::uint64_t m_silences = 0;
+    std::uint64_t m_connections = 0; ///< Taken so far.
     std::list<Entrance> m_entrances;
     kj::TaskSet m_tasks;
 };
@@ -170,6 +235,7 @@
 int runFabric(const Options& options)
 {
     kj::UnixEventPort::captureSignal(SIGTERM);
+    kj::UnixEventPort::captureSignal(silenceSignal);
     auto io = kj::setupAsyncIo();
     Fabric fabric(options, io);
     io.unixEventPort.onSignal(SIGTERM).wait(io.waitScope);
--- a/tools/local_cluster.py
+++ b/tools/local_cluster.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -14,14 +15,19 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 FABRIC_HOST = "127.0.2.1"
 START_LIMIT_SECONDS = 30
+FIRST_PORT = 10_000
+PORTS_END = 32_000
 
 
 def free_port(host="127.0.0.1"):
-    """A port that is free for TCP and UDP at this moment."""
+    """A port that is free for TCP and UDP at this moment, outside the range of which the kernel gives to clients."""
     while True:
+        port = random.randrange(FIRST_PORT, PORTS_END)
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
-            stream.bind((host, 0))
-            port = stream.getsockname()[1]
+            try:
+                stream.bind((host, port))
+            except OSError:
+                continue
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram:
                 try:
                     datagram.bind((host, port))
@@ -107,6 +113,9 @@
         self.control_names = []
         self.balancer_hosts = {}
         self.services = {}
+        self.backends = {}  # names of backend servers by service
+        self.control_relays = []
+        self.trunk_relays = []
 
     def __enter__(self):
         return self
@@ -158,6 +167,19 @@
                 },
             })
 
+    def start_relay(self, name, target):
+        """A process between two others that can make their open connections go silent; returns its address."""
+        address = free_address()
+        self.start_standin("fabric", name, "--stream", f"{address}={target}", "--datagram", f"{address}={target}")
+        return address
+
+    def relay_control(self):
+        """From now on processes reach the control instances through relays."""
+        for index, address in enumerate(self.control_addresses):
+            name = f"relay-control-{index + 1}"
+            self.control_addresses[index] = self.start_relay(name, address)
+            self.control_relays.append(name)
+
     def start_balancer(self, index, domain):
         name = f"balancer-{index}"
         host = f"127.0.1.{index}"
@@ -167,13 +189,18 @@
         })
         return name
 
-    def start_backend(self, service, index, domain, *options, agent_settings=None):
-        """An agent and the backend server beside it."""
+    def start_backend(self, service, index, domain, *options, agent_settings=None, relayed=False):
+        """An agent and the backend server beside it; `relayed`: others reach the agent's trunk through a relay."""
         agent = f"agent-{service}-{index}"
         backend = f"{service}-{index}"
+        self.backends.setdefault(service, []).append(backend)
+        trunk = {"trunk": free_address()}
+        if relayed:
+            trunk["announcedTrunk"] = self.start_relay("relay-" + agent, trunk["trunk"])
+            self.trunk_relays.append("relay-" + agent)
         self.start_role("agent", agent, domain, {
             "control": self.control_addresses,
-            "agent": {"trunk": free_address(), "leaveSeconds": 10, **(agent_settings or {})},
+            "agent": {**trunk, "leaveSeconds": 10, **(agent_settings or {})},
         })
         self.start_standin("backend", backend, "--name", backend, "--listen", free_address(), "--agent",
                            self.operators[agent], "--service", service, *options)
