Receive datagrams of a new flow outside the batch that opened it

Cause: sockets of a thread share the memory of a batch, and a flow's first receive ran inside the loop over the batch that had opened it; a datagram arriving then would have overwritten those not yet taken.

--- a/src/roles/AgentDatagrams.cpp
+++ b/src/roles/AgentDatagrams.cpp
@@ -99,7 +99,10 @@
     flow->socket = std::move(socket);
     flow->observer = kj::heap<kj::UnixEventPort::FdObserver>(
         m_loop.eventPort(), flow->socket->descriptor(), kj::UnixEventPort::FdObserver::OBSERVE_READ);
-    flow->replies = takeReplies(datagram.key, *flow).eagerlyEvaluate(nullptr);
+    // Later: this runs inside a batch of received datagrams, which the thread's sockets share.
+    flow->replies = kj::evalLater([this, key = datagram.key, &opened = *flow] {
+        return takeReplies(key, opened);
+    }).eagerlyEvaluate(nullptr);
     m_open[datagram.key] = std::move(flow);
     m_onChange();
     deliver(datagram);
--- a/standins/Fabric.cpp
+++ b/standins/Fabric.cpp
@@ -129,7 +129,8 @@
         auto& socket
             = entrance.towardsBalancers.emplace(caller, observed(net::DatagramSocket::bound(any))).first->second;
         // Later: this runs inside a batch of received datagrams, which the thread's sockets share.
-        m_tasks.add(kj::evalLater([this, &entrance, caller, &socket] { return fromBalancers(entrance, caller, socket); }));
+        m_tasks.add(
+            kj::evalLater([this, &entrance, caller, &socket] { return fromBalancers(entrance, caller, socket); }));
         return socket;
     }
 
