Submit, show and follow release notes from the command line

Cause: an operator had only 'submit' and 'list' against one control instance, and a lost answer left them guessing.

Conclusion: safe to repeat, since number and content decide.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -3,6 +3,7 @@
 #include "control.capnp.h"
 #include "control/Announcement.h"
 #include "control/MembershipCodec.h"
+#include "control/NoteDifference.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -306,8 +307,27 @@
     return call->reply;
 }
 
+net::HttpReply ControlNode::tryNote(const net::HttpRequest& request)
+{
+    return onControlThread([this, text = request.body](net::HttpReply& reply, std::function<void()> done) {
+        const auto outcome = m_state->judge(text);
+        reply = toReply(outcome);
+        settings::Faults faults;
+        const auto note = parseNote(text, faults);
+        if (outcome.status == NoteStatus::Accepted && note) {
+            auto body = nlohmann::json::parse(reply.body);
+            body["dryRun"] = true;
+            body["difference"] = difference(m_state->membership(), *note);
+            reply.body = body.dump();
+        }
+        done();
+    });
+}
+
 net::HttpReply ControlNode::submitNote(const net::HttpRequest& request)
 {
+    if (request.query == "dry-run=1")
+        return tryNote(request);
     return onControlThread([this, text = request.body](net::HttpReply& reply, std::function<void()> done) {
         // A follower's state may lag behind what the same operator has been told, so only the leader refuses at once.
         const auto judged = m_state->judge(text);
@@ -328,8 +348,29 @@
     });
 }
 
-net::HttpReply ControlNode::showNotes(const net::HttpRequest&)
+net::HttpReply ControlNode::showNote(const std::string& number)
+{
+    return onControlThread([this, number](net::HttpReply& reply, std::function<void()> done) {
+        const auto& notes = m_state->notes();
+        const auto found = std::find_if(
+            notes.begin(), notes.end(), [&number](const auto& note) { return std::to_string(note.first) == number; });
+        reply = errorReply(404, "unknown-note");
+        if (found != notes.end()) {
+            const auto& [noteNumber, record] = *found;
+            reply = { 200, "application/json",
+                nlohmann::json { { "number", noteNumber }, { "author", record.author }, { "revision", record.revision },
+                    { "note", nlohmann::json::parse(record.content, nullptr, false) } }
+                    .dump() };
+        }
+        done();
+    });
+}
+
+net::HttpReply ControlNode::showNotes(const net::HttpRequest& request)
 {
+    constexpr std::string_view prefix = "/notes/";
+    if (request.path.starts_with(prefix))
+        return showNote(request.path.substr(prefix.size()));
     return onControlThread([this](net::HttpReply& reply, std::function<void()> done) {
         auto list = nlohmann::json::array();
         for (const auto& [number, note] : m_state->notes())
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -53,6 +53,8 @@
     void wakeSubscribers();
     net::HttpReply onControlThread(std::function<void(net::HttpReply&, std::function<void()>)> work);
     net::HttpReply submitNote(const net::HttpRequest& request);
+    net::HttpReply tryNote(const net::HttpRequest& request);
+    net::HttpReply showNote(const std::string& number);
     net::HttpReply showNotes(const net::HttpRequest& request);
     net::HttpReply showMembers();
 
--- a/src/roles/CommandLine.cpp
+++ b/src/roles/CommandLine.cpp
@@ -3,6 +3,7 @@
 #include "control/JournalReport.h"
 #include "net/HttpCall.h"
 #include "roles/ExitCode.h"
+#include "roles/NoteCommand.h"
 #include "roles/Process.h"
 #include "settings/Settings.h"
 
@@ -22,16 +23,20 @@
       Runs a role. Example: yuccahook all --settings examples/all.json
   yuccahook check FILE
       Checks a settings file. Example: yuccahook check examples/all.json
-  yuccahook note submit FILE --control IP:PORT
-      Submits a release note to a control instance's operator address.
-      Example: yuccahook note submit season.json --control 127.0.0.1:7801
-  yuccahook note list --control IP:PORT
+  yuccahook note submit FILE --control IP:PORT,... [--dry-run]
+      Submits a release note to the operator address of any control instance; safe to repeat.
+      Example: yuccahook note submit examples/note-guatemala.json --control 127.0.0.1:7801,127.0.0.1:7802
+  yuccahook note show N | list | status N --control IP:PORT,...
+      Shows an accepted note, all of them, or on how many processes one is in force.
   yuccahook status --address IP:PORT
       Shows the status of any process from its operator address.
+      Example: yuccahook status --address 127.0.0.1:7811
   yuccahook journal check|show FOLDER
+      Example: yuccahook journal check data/control-1
       Reads the journal of a control instance that is stopped, or a copy, and changes nothing.
   yuccahook --version
 
+--json prints one JSON object instead of a table.
 Exit codes: 0 success, 1 usage, 2 bad settings or note, 3 refused, 4 unreachable, 5 failed.
 )";
 
@@ -40,11 +45,10 @@
     std::string settings;
     std::string control;
     std::string address;
+    bool dryRun = false;
     bool json = false;
 };
 
-int code(ExitCode exitCode) { return static_cast<int>(exitCode); }
-
 int reportFaults(const settings::Faults& faults, std::ostream& err)
 {
     for (const auto& fault : faults)
@@ -92,16 +96,10 @@
 
 int runNote(const Arguments& arguments, std::ostream& out, std::ostream& err)
 {
-    const auto& words = arguments.words;
-    if (words.size() == 2 && words[1] == "list")
-        return call(arguments.control, { "GET", "/notes", "", "" }, out, err);
-    if (words.size() == 3 && words[1] == "submit") {
-        settings::Faults faults;
-        const auto text = settings::readFile(words[2], faults);
-        if (!text)
-            return reportFaults(faults, err);
-        return call(arguments.control, { "POST", "/notes", "", *text }, out, err);
-    }
+    const NoteArguments note { { arguments.words.begin() + 1, arguments.words.end() }, arguments.control,
+        arguments.dryRun, arguments.json };
+    if (isNoteCommand(note.words))
+        return runNoteCommand(note, out, err);
     err << helpText;
     return code(ExitCode::Usage);
 }
@@ -143,8 +141,8 @@
     cxxopts::Options options("yuccahook");
     options.add_options()("settings", "", cxxopts::value<std::string>()->default_value(""))(
         "control", "", cxxopts::value<std::string>()->default_value(""))(
-        "address", "", cxxopts::value<std::string>()->default_value(""))("json", "")("help", "")("version", "")(
-        "words", "", cxxopts::value<std::vector<std::string>>());
+        "address", "", cxxopts::value<std::string>()->default_value(""))("dry-run", "")("json", "")("help", "")(
+        "version", "")("words", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional("words");
     try {
         const auto parsed = options.parse(argumentCount, arguments);
@@ -162,6 +160,7 @@
         read.settings = parsed["settings"].as<std::string>();
         read.control = parsed["control"].as<std::string>();
         read.address = parsed["address"].as<std::string>();
+        read.dryRun = parsed.count("dry-run") > 0;
         read.json = parsed.count("json") > 0;
         return run(read, out, err);
     } catch (const cxxopts::exceptions::exception& exception) {
--- /dev/null
+++ b/src/roles/NoteCommand.cpp
@@ -0,0 +1,215 @@
+#include "roles/NoteCommand.h"
+
+#include "net/HttpCall.h"
+#include "roles/ExitCode.h"
+#include "settings/Settings.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <sstream>
+#include <thread>
+
+namespace yuccahook::roles {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto callTimeout = std::chrono::seconds(12);
+constexpr auto retryDelay = std::chrono::milliseconds(300);
+constexpr int attemptsPerInstance = 5;
+constexpr int httpRefused = 400; ///< Statuses from here on are refusals.
+constexpr int httpUnavailable = 503;
+constexpr int httpTimeout = 504;
+
+/// An answer of a control instance with its parsed body.
+struct Answer {
+    int status = 0;
+    json body;
+};
+
+std::optional<std::vector<net::Address>> parseControl(const std::string& text, std::ostream& err)
+{
+    std::vector<net::Address> addresses;
+    std::istringstream parts(text);
+    for (std::string part; std::getline(parts, part, ',');) {
+        const auto address = net::Address::parse(part);
+        if (!address) {
+            err << "--control: seen \"" << part << "\", allowed: IP:PORT,IP:PORT,...\n";
+            return std::nullopt;
+        }
+        addresses.push_back(*address);
+    }
+    if (!addresses.empty())
+        return addresses;
+    err << "--control IP:PORT is needed\n";
+    return std::nullopt;
+}
+
+std::optional<Answer> callOnce(const net::Address& address, const net::HttpRequest& request)
+{
+    const auto reply = net::httpCall(address, request, callTimeout);
+    if (!reply)
+        return std::nullopt;
+    return Answer { reply->status, json::parse(reply->body, nullptr, false) };
+}
+
+// Every request of these commands may be repeated, so a lost answer is asked for again elsewhere.
+std::optional<Answer> callAny(const std::vector<net::Address>& addresses, const net::HttpRequest& request)
+{
+    const int attempts = attemptsPerInstance * static_cast<int>(addresses.size());
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        const auto answer = callOnce(addresses[attempt % addresses.size()], request);
+        if (answer && answer->status != httpUnavailable && answer->status != httpTimeout)
+            return answer;
+        std::this_thread::sleep_for(retryDelay);
+    }
+    return std::nullopt;
+}
+
+std::string text(const json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+void printOutcome(const json& body, std::ostream& out)
+{
+    out << "note " << body.value("number", 0) << ": " << body.value("status", "") << ", revision "
+        << body.value("revision", 0) << '\n';
+    if (body.value("status", "") == "number-taken")
+        out << "  the number is held by a note of " << body.value("acceptedAuthor", "") << '\n';
+    for (const auto& fault : body.value("faults", json::array())) {
+        out << "  " << text(fault["path"]) << ": " << text(fault["fault"]) << ", seen " << text(fault["seen"])
+            << ", allowed: " << text(fault["allowed"]) << '\n';
+    }
+    for (const auto& change : body.value("difference", json::array())) {
+        out << "  " << text(change["change"]) << ' ' << text(change["service"]);
+        if (change.contains("key"))
+            out << ' ' << text(change["key"]) << ": " << change["before"].dump() << " -> " << change["after"].dump();
+        out << '\n';
+    }
+}
+
+void printList(const json& body, std::ostream& out)
+{
+    out << std::left << std::setw(12) << "NUMBER" << std::setw(12) << "REVISION"
+        << "AUTHOR\n";
+    for (const auto& note : body.value("notes", json::array())) {
+        out << std::setw(12) << text(note["number"]) << std::setw(12) << text(note["revision"]) << text(note["author"])
+            << '\n';
+    }
+}
+
+int finish(const std::optional<Answer>& answer, const NoteArguments& arguments, std::ostream& out, std::ostream& err,
+    void (*print)(const json&, std::ostream&))
+{
+    if (!answer) {
+        err << "no control instance answered; the note may or may not be accepted: submit the same file again\n";
+        return code(ExitCode::Unreachable);
+    }
+    if (arguments.json || !answer->body.is_object())
+        out << answer->body.dump() << '\n';
+    else
+        print(answer->body, out);
+    return code(answer->status < httpRefused ? ExitCode::Success : ExitCode::Refused);
+}
+
+int submit(
+    const NoteArguments& arguments, const std::vector<net::Address>& addresses, std::ostream& out, std::ostream& err)
+{
+    settings::Faults faults;
+    const auto note = settings::readFile(arguments.words[1], faults);
+    if (!note) {
+        err << settings::describe(faults.front()) << '\n';
+        return code(ExitCode::BadSettings);
+    }
+    const std::string query = arguments.dryRun ? "dry-run=1" : "";
+    return finish(callAny(addresses, { "POST", "/notes", query, *note }), arguments, out, err, printOutcome);
+}
+
+int show(
+    const NoteArguments& arguments, const std::vector<net::Address>& addresses, std::ostream& out, std::ostream& err)
+{
+    const auto print = [](const json& body, std::ostream& stream) { stream << body.dump(2) << '\n'; };
+    return finish(callAny(addresses, { "GET", "/notes/" + arguments.words[1], "", "" }), arguments, out, err, print);
+}
+
+// Each subscriber follows one instance, so all are asked and the answers joined.
+int status(
+    const NoteArguments& arguments, const std::vector<net::Address>& addresses, std::ostream& out, std::ostream& err)
+{
+    const auto found = callAny(addresses, { "GET", "/notes/" + arguments.words[1], "", "" });
+    if (!found || found->status >= httpRefused)
+        return finish(found, arguments, out, err, printOutcome);
+    const std::uint64_t revision = found->body.value("revision", std::uint64_t { 0 });
+    std::map<std::string, std::uint64_t> inForce;
+    std::size_t silent = 0;
+    for (const auto& address : addresses) {
+        const auto answer = callOnce(address, { "GET", "/notes", "", "" });
+        if (!answer || !answer->body.is_object()) {
+            ++silent;
+            continue;
+        }
+        for (const auto& subscriber : answer->body["inForce"].items()) {
+            auto& known = inForce[subscriber.key()];
+            known = std::max(known, subscriber.value().get<std::uint64_t>());
+        }
+    }
+    json lagging = json::object();
+    for (const auto& [name, known] : inForce) {
+        if (known < revision)
+            lagging[name] = known;
+    }
+    const json body { { "number", found->body["number"] }, { "revision", revision },
+        { "inForce", inForce.size() - lagging.size() }, { "lagging", lagging }, { "silentControlInstances", silent } };
+    if (arguments.json) {
+        out << body.dump() << '\n';
+    } else {
+        out << "note " << arguments.words[1] << ", revision " << revision << ": in force on "
+            << inForce.size() - lagging.size() << " of " << inForce.size() << " processes\n";
+        for (const auto& entry : lagging.items())
+            out << "  lagging: " << entry.key() << " at revision " << entry.value() << '\n';
+        if (silent > 0)
+            out << "  " << silent << " control instances did not answer; their subscribers are not counted\n";
+    }
+    return code(lagging.empty() && silent == 0 ? ExitCode::Success : ExitCode::Refused);
+}
+
+using Action = int (*)(const NoteArguments&, const std::vector<net::Address>&, std::ostream&, std::ostream&);
+
+int list(
+    const NoteArguments& arguments, const std::vector<net::Address>& addresses, std::ostream& out, std::ostream& err)
+{
+    return finish(callAny(addresses, { "GET", "/notes", "", "" }), arguments, out, err, printList);
+}
+
+/// A command with the number of its words.
+struct Command {
+    std::string_view name;
+    std::size_t words;
+    Action action;
+};
+
+constexpr std::array<Command, 4> commands { Command { "submit", 2, submit }, Command { "show", 2, show },
+    Command { "list", 1, list }, Command { "status", 2, status } };
+
+const Command* findCommand(const std::vector<std::string>& words)
+{
+    const auto found = std::find_if(commands.begin(), commands.end(),
+        [&words](const Command& command) { return words.size() == command.words && words.front() == command.name; });
+    return found != commands.end() ? &*found : nullptr;
+}
+
+} // namespace
+
+bool isNoteCommand(const std::vector<std::string>& words) { return findCommand(words) != nullptr; }
+
+int runNoteCommand(const NoteArguments& arguments, std::ostream& out, std::ostream& err)
+{
+    const Command* command = findCommand(arguments.words);
+    const auto addresses = parseControl(arguments.control, err);
+    if (!command || !addresses)
+        return code(ExitCode::Usage);
+    return command->action(arguments, *addresses, out, err);
+}
+
+} // namespace yuccahook::roles
