--- a/src/flow/AgentFlows.cpp
+++ b/src/flow/AgentFlows.cpp
@@ -152,9 +152,8 @@
 
 Decision AgentFlows::decide(const Packet& packet, Time now)
 {
-    const auto found = m_flows.find(packet.key);
-    if (found != m_flows.end() && !found->second.closing) {
-        found->second.lastSeen = now;
+    if (Entry* entry = m_flows.find(packet.key); entry && !entry->closing) {
+        entry->lastSeen = now;
         return { Verdict::Deliver, m_self, RefusalReason::None, {} };
     }
     if (packet.hops >= maximumHops)
@@ -238,8 +237,8 @@
 
 Decision AgentFlows::decidePlaced(const Packet& packet, Time now)
 {
-    const auto found = m_flows.find(packet.key);
-    const bool closed = found != m_flows.end() && found->second.placement == packet.routing.placement;
+    const Entry* entry = m_flows.find(packet.key);
+    const bool closed = entry && entry->placement == packet.routing.placement;
     if (!closed && !m_draining) {
         if (m_open >= m_maximumFlows)
             return refuse(RefusalReason::TableFull);
@@ -282,7 +281,7 @@
 
 Decision AgentFlows::open(const Packet& packet, std::uint64_t placement, Time now)
 {
-    m_flows.insert_or_assign(packet.key, Entry { now, placement });
+    m_flows.insertOrAssign(packet.key, { now, placement });
     ++m_open;
     ++m_counts.opened;
     return { Verdict::Open, m_self, RefusalReason::None, {} };
@@ -290,14 +289,14 @@
 
 bool AgentFlows::holds(const FlowKey& key) const
 {
-    const auto found = m_flows.find(key);
-    return found != m_flows.end() && !found->second.closing;
+    const Entry* entry = m_flows.find(key);
+    return entry && !entry->closing;
 }
 
 void AgentFlows::close(const FlowKey& key, Time now)
 {
-    if (const auto found = m_flows.find(key); found != m_flows.end() && !found->second.closing)
-        beginClosing(key, found->second, now);
+    if (Entry* entry = m_flows.find(key); entry && !entry->closing)
+        beginClosing(key, *entry, now);
 }
 
 void AgentFlows::beginClosing(const FlowKey& key, Entry& entry, Time now)
@@ -316,12 +315,12 @@
     if (!service || service->protocol != Protocol::Datagram)
         return expired; // a stream says itself when it ends
     const Time idle = std::chrono::seconds(service->idleSeconds);
-    for (auto& [key, entry] : m_flows) {
+    m_flows.forEach([&](const FlowKey& key, Entry& entry) {
         if (entry.closing || now - entry.lastSeen < idle)
-            continue;
+            return;
         expired.push_back(key);
         beginClosing(key, entry, now);
-    }
+    });
     return expired;
 }
 
@@ -382,10 +381,10 @@
         answer.buckets.push_back({ claimed.bucket, wasOwner, false });
     }
     eraseDirectory(outdated);
-    for (const auto& [key, entry] : m_flows) {
+    m_flows.forEach([&](const FlowKey& key, const Entry& entry) {
         if (!entry.closing && heldWanted[bucketOf(key)])
             answer.entries.push_back({ key.caller, m_self, entry.placement });
-    }
+    });
     for (const auto& [key, redirect] : m_directory) {
         if (directoryWanted[bucketOf(key)])
             answer.entries.push_back({ key.caller, redirect.holder, redirect.placement });
@@ -480,9 +479,9 @@
 void AgentFlows::takeClosedTaken(const PeerMessage& message)
 {
     for (const auto& entry : message.entries) {
-        const auto found = m_flows.find(keyOf(entry.caller));
-        if (found != m_flows.end() && found->second.closing && found->second.placement == entry.placement)
-            found->second.closeTaken = true;
+        Entry* closed = m_flows.find(keyOf(entry.caller));
+        if (closed && closed->closing && closed->placement == entry.placement)
+            closed->closeTaken = true;
     }
 }
 
@@ -509,15 +508,15 @@
     sendClaims(now);
     std::unordered_map<std::uint32_t, PeerMessage> closed;
     std::erase_if(m_closing, [&](const FlowKey& key) {
-        const auto found = m_flows.find(key);
-        if (found == m_flows.end() || !found->second.closing)
+        Entry* found = m_flows.find(key);
+        if (!found || !found->closing)
             return true; // opened again under another placement
-        Entry& entry = found->second;
+        Entry& entry = *found;
         const Member* owner = m_map->ownerOf(key);
         if (m_buckets[bucketOf(key)].authority || !owner)
             entry.closeTaken = true;
         if (entry.closeTaken && now - entry.lastSeen >= maximumPacketLifetime) {
-            m_flows.erase(found);
+            m_flows.erase(key);
             return true;
         }
         if (!entry.closeTaken && owner->id != m_self) {
--- a/src/flow/AgentFlows.h
+++ b/src/flow/AgentFlows.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flow/BucketMap.h"
+#include "flow/FlowTable.h"
 #include "flow/Packet.h"
 #include "flow/PeerMessage.h"
 
@@ -39,6 +40,9 @@
 
     Decision decide(const Packet& packet, Time now);
 
+    /// Begins to load what `decide` will read.
+    void prefetch(const FlowKey& key) const { m_flows.prefetch(key); }
+
     /// Whom the last verdict `Ask` concerns.
     std::span<const std::uint32_t> asked() const { return m_asked; }
 
@@ -68,7 +72,7 @@
 
 private:
     struct Entry {
-        Time lastSeen;
+        Time lastSeen { 0 };
         std::uint64_t placement = 0;
         bool closing = false; ///< Kept so that a late packet does not open this placement again.
         bool closeTaken = false;
@@ -130,7 +134,7 @@
     bool m_draining = false;
     std::size_t m_open = 0; ///< Entries that are not closing.
     std::uint64_t m_placements = 0;
-    std::unordered_map<FlowKey, Entry> m_flows;
+    FlowTable<Entry> m_flows;
     std::unordered_map<FlowKey, Redirect> m_directory;
     std::vector<Bucket> m_buckets;
     std::unordered_map<std::uint32_t, PeerLoad> m_loads;
--- a/src/flow/HintCache.h
+++ b/src/flow/HintCache.h
@@ -16,6 +16,9 @@
     {
     }
 
+    /// Begins to load what `holderOf` will read.
+    void prefetch(const FlowKey& key) const { __builtin_prefetch(&m_slots[hashOf(key) % m_slots.size()]); }
+
     /// Remembers the holder in place of whatever shares its slot.
     void learn(const FlowKey& key, std::uint32_t holder) { slotOf(key) = { key, holder }; }
 
--- a/src/roles/AgentDatagrams.cpp
+++ b/src/roles/AgentDatagrams.cpp
@@ -44,20 +44,30 @@
 
 kj::Promise<void> AgentDatagrams::takeTrunk()
 {
-    while (m_trunk->receive([this](const net::Address& source, net::Bytes bytes) {
-        if (const auto datagram = net::decodeTrunk(bytes))
-            fromTrunk(source, *datagram);
-    }) > 0)
+    // Decodes the whole batch first, so that the table's memory is loaded meanwhile; its bytes stay until the next
+    // batch of this thread.
+    while (m_trunk->receive([this](const net::Address& source, net::Bytes bytes) { addToBatch(source, bytes); }) > 0) {
+        for (const auto& datagram : m_batch)
+            fromTrunk(datagram);
+        m_batch.clear();
         m_trunk->flush();
+    }
     return m_trunkObserver->whenBecomesReadable().then([this] { return takeTrunk(); });
 }
 
-void AgentDatagrams::fromTrunk(const net::Address& source, net::TrunkDatagram datagram)
+void AgentDatagrams::addToBatch(const net::Address& source, net::Bytes bytes)
 {
-    if (datagram.kind != net::DatagramKind::Forward)
+    auto datagram = net::decodeTrunk(bytes);
+    if (!datagram || datagram->kind != net::DatagramKind::Forward)
         return;
-    if (!datagram.returnAddress.isSet())
-        datagram.returnAddress = source;
+    if (!datagram->returnAddress.isSet())
+        datagram->returnAddress = source;
+    m_flows.prefetch(datagram->key);
+    m_batch.push_back(*datagram);
+}
+
+void AgentDatagrams::fromTrunk(const net::TrunkDatagram& datagram)
+{
     flow::Packet packet { datagram.key, datagram.hint, static_cast<std::uint32_t>(datagram.payload.size()),
         datagram.revision, datagram.hops, datagram.routing };
     // A placement at an earlier process on this address is not for this one.
--- a/src/roles/AgentDatagrams.h
+++ b/src/roles/AgentDatagrams.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace yuccahook::roles {
 
@@ -41,7 +42,8 @@
 
     flow::Time now() const;
     kj::Promise<void> takeTrunk();
-    void fromTrunk(const net::Address& source, net::TrunkDatagram datagram);
+    void addToBatch(const net::Address& source, net::Bytes bytes);
+    void fromTrunk(const net::TrunkDatagram& datagram);
     void open(const net::TrunkDatagram& datagram);
     void deliver(const net::TrunkDatagram& datagram);
     kj::Promise<void> takeReplies(flow::FlowKey key, Flow& flow);
@@ -59,6 +61,7 @@
     std::unique_ptr<net::DatagramSocket> m_trunk;
     kj::Own<kj::UnixEventPort::FdObserver> m_trunkObserver;
     net::TrunkBuffer m_buffer;
+    std::vector<net::TrunkDatagram> m_batch; // keeps its memory
     std::unordered_map<flow::FlowKey, std::unique_ptr<Flow>> m_open;
     std::function<void()> m_onChange = [] {};
     observe::Counter& m_forwarded;
