--- a/tests/flow/BucketMapTest.cpp
+++ b/tests/flow/BucketMapTest.cpp
@@ -53,3 +53,58 @@
             CHECK(map.ownerOf(keyOf(port))->id != 2);
     }
 }
+
+TEST_CASE("A bucket map takes over what has not changed")
+{
+    auto membership = membershipOf(5);
+    flow::ServiceSpec other;
+    other.id = 2;
+    membership->services.push_back(other);
+    flow::Member alone;
+    alone.id = 50;
+    alone.service = 2;
+    membership->members.push_back(alone);
+    const flow::BucketMap before(membership);
+    CHECK(before.rebuilt() == 2);
+
+    const auto sameAsNew = [&](const flow::MembershipPointer& changed, std::size_t rebuilt) {
+        const flow::BucketMap updated(changed, &before);
+        const flow::BucketMap fresh(changed);
+        CHECK(updated.rebuilt() == rebuilt);
+        for (std::uint16_t port = 1; port < 500; ++port) {
+            CHECK(updated.ownerOf(keyOf(port)) == fresh.ownerOf(keyOf(port)));
+            CHECK(updated.ownerOf({ { 1, 2, port }, 2 }) == fresh.ownerOf({ { 1, 2, port }, 2 }));
+        }
+    };
+    auto after = std::make_shared<flow::Membership>(*membership);
+
+    SUBCASE("when nothing changes, or only addresses")
+    {
+        after->members[0].trunk.port = 9;
+        sameAsNew(after, 0);
+    }
+
+    SUBCASE("when one service loses a member")
+    {
+        after->members.erase(after->members.begin());
+        sameAsNew(after, 1);
+    }
+
+    SUBCASE("when a weight changes")
+    {
+        after->members[0].weight = 30;
+        sameAsNew(after, 1);
+    }
+
+    SUBCASE("when a service's only member drains")
+    {
+        after->members.back().state = flow::MemberState::Draining;
+        sameAsNew(after, 0);
+    }
+
+    SUBCASE("when a service has more buckets")
+    {
+        after->services[1].buckets = 512;
+        sameAsNew(after, 1);
+    }
+}
