Break the caller's connection when a streamed answer breaks off

An answer in chunks that was cut short reached the caller with a last chunk, as whole: the HTTP writer writes it when it is dropped. The caller's stream is now cut first. A request on a used connection that the backend server had closed was not sent again, since the client throws at once.

--- a/src/request/Exchange.h
+++ b/src/request/Exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "request/Claim.h"
+#include "request/CuttableStream.h"
 #include "request/Gate.h"
 #include "request/HeaderCopy.h"
 #include "request/RequestMachine.h"
@@ -34,6 +35,8 @@
     bool answerBegan = false;
     kj::Own<Slot> slot;
     kj::Own<Upstream::Connection> connection;
+    CuttableStream* caller = nullptr; ///< Of a streamed one; valid while its promise is held.
+    kj::Own<kj::AsyncOutputStream> output; ///< The body of its answer.
 
     Time deadline() const { return arrived + std::chrono::milliseconds(policy.deadlineMillis); }
 };
--- a/src/request/HttpFront.cpp
+++ b/src/request/HttpFront.cpp
@@ -68,11 +68,22 @@
 }
 
 HttpFront::Served::Served(HttpFront& front, kj::Own<kj::AsyncIoStream> stream)
-    : m_server(front.m_loop.timer(), *front.m_headers, front, serverSettings(front, *this))
-    , m_serving(m_server.listenHttp(kj::mv(stream)).eagerlyEvaluate([](kj::Exception&&) {}))
+    : m_front(front)
+    , m_accepted(kj::heap<CuttableStream>(kj::mv(stream)))
+    , m_stream(*m_accepted)
+    , m_server(front.m_loop.timer(), *front.m_headers, *this, serverSettings(front, *this))
+    , m_serving(m_server.listenHttp(kj::mv(m_accepted)).eagerlyEvaluate([](kj::Exception&&) {}))
 {
 }
 
+kj::Promise<void> HttpFront::Served::request(kj::HttpMethod method, kj::StringPtr url, const kj::HttpHeaders& headers,
+    kj::AsyncInputStream& body, Response& response)
+{
+    auto exchange = m_front.receive(method, url, headers);
+    exchange->caller = &m_stream;
+    return m_front.request(kj::mv(exchange), body, response);
+}
+
 void HttpFront::Served::drain()
 {
     m_isDraining = true;
@@ -110,10 +121,8 @@
     return exchange;
 }
 
-kj::Promise<void> HttpFront::request(kj::HttpMethod method, kj::StringPtr url, const kj::HttpHeaders& headers,
-    kj::AsyncInputStream& body, Response& response)
+kj::Promise<void> HttpFront::request(ExchangeOwn exchange, kj::AsyncInputStream& body, Response& response)
 {
-    auto exchange = receive(method, url, headers);
     auto& received = *exchange;
     auto reading = readBounded(body, received.policy.maximumBodyBytes, received.body);
     return reading.then([this, &response, exchange = kj::mv(exchange)](bool whole) mutable {
@@ -227,7 +236,7 @@
         [this, &exchange](kj::Own<Upstream::Connection> connection) -> kj::Promise<void> {
             exchange.connection = kj::mv(connection);
             return m_loop.timer()
-                .timeoutAfter(remaining(exchange), takeAnswer(exchange))
+                .timeoutAfter(remaining(exchange), kj::evalNow([&] { return takeAnswer(exchange); }))
                 .catch_([this, &exchange](kj::Exception&& exception) {
                     const auto broken
                         = exchange.answerBegan ? RequestReason::AnswerTruncated : RequestReason::BackendLost;
@@ -296,7 +305,7 @@
         [this, &exchange, &response](kj::Own<Upstream::Connection> connection) -> kj::Promise<void> {
             exchange.connection = kj::mv(connection);
             return m_loop.timer()
-                .timeoutAfter(remaining(exchange), send(exchange))
+                .timeoutAfter(remaining(exchange), kj::evalNow([&] { return send(exchange); }))
                 .then([this, &exchange, &response](
                           kj::HttpClient::Response&& answer) { return pumpAnswer(exchange, kj::mv(answer), response); },
                     [this, &exchange, &response](kj::Exception&& exception) -> kj::Promise<void> {
@@ -328,20 +337,23 @@
     addHeaders(headers, endToEndHeaders(*answer.headers));
     headers.add(outcomeHeader, kj::str(kernel::nameOf(Outcome::Answered).data()));
     const bool closes = closesConnection(*answer.headers);
-    auto output = response.send(answer.statusCode, answer.statusText, headers, answer.body->tryGetLength());
+    exchange.output = response.send(answer.statusCode, answer.statusText, headers, answer.body->tryGetLength());
     const bool bodiless = hasNoBody(exchange.method, answer.statusCode);
-    auto pumping = bodiless ? kj::Promise<void>(kj::READY_NOW) : answer.body->pumpTo(*output).ignoreResult();
-    return pumping.attach(kj::mv(output), kj::mv(answer.body))
+    auto pumping = bodiless ? kj::Promise<void>(kj::READY_NOW) : answer.body->pumpTo(*exchange.output).ignoreResult();
+    return pumping.attach(kj::mv(answer.body))
         .then(
             [this, &exchange, closes] {
+                exchange.output = nullptr;
                 exchange.machine.answer();
                 if (!closes)
                     m_upstream.release(kj::mv(exchange.connection));
                 settle(exchange);
             },
             [this, &exchange](kj::Exception&& exception) {
+                exchange.caller->cut();
+                exchange.output = nullptr;
                 fail(exchange, RequestReason::AnswerTruncated);
-                kj::throwFatalException(kj::mv(exception)); // breaks the caller's connection
+                kj::throwFatalException(kj::mv(exception)); // ends the caller's connection
             });
 }
 
--- a/src/request/HttpFront.h
+++ b/src/request/HttpFront.h
@@ -18,14 +18,14 @@
 /// A non-idempotent request and its answer are buffered, so that the answer is given whole or not at all; with an
 /// Idempotency-Key it is dispatched only under a claim, and goes on when its caller leaves. Answers to idempotent
 /// requests are streamed; one that breaks off breaks the caller's connection.
-class HttpFront final : private kj::HttpService, private kj::HttpServerErrorHandler, private kj::TaskSet::ErrorHandler {
+class HttpFront final : private kj::HttpServerErrorHandler, private kj::TaskSet::ErrorHandler {
 public:
     HttpFront(net::Loop& loop, Claims& claims, Gate& gate, Upstream::Connector connector, observe::Counters& counters);
 
     void setService(std::uint32_t service, const RequestPolicy& policy);
 
     /// One caller's stream. Dropping it cuts the stream.
-    class Served final : private kj::HttpServerCallbacks {
+    class Served final : private kj::HttpService, private kj::HttpServerCallbacks {
     public:
         Served(HttpFront& front, kj::Own<kj::AsyncIoStream> stream);
 
@@ -33,8 +33,13 @@
         void drain();
 
     private:
+        kj::Promise<void> request(kj::HttpMethod method, kj::StringPtr url, const kj::HttpHeaders& headers,
+            kj::AsyncInputStream& body, Response& response) override;
         bool shouldClose() override { return m_isDraining; }
 
+        HttpFront& m_front;
+        kj::Own<CuttableStream> m_accepted; // until it is served
+        CuttableStream& m_stream;
         bool m_isDraining = false;
         kj::HttpServer m_server;
         kj::Promise<void> m_serving;
@@ -46,9 +51,9 @@
 
 private:
     using ExchangeOwn = kj::Own<Exchange>;
+    using Response = kj::HttpService::Response;
 
-    kj::Promise<void> request(kj::HttpMethod method, kj::StringPtr url, const kj::HttpHeaders& headers,
-        kj::AsyncInputStream& body, Response& response) override;
+    kj::Promise<void> request(ExchangeOwn exchange, kj::AsyncInputStream& body, Response& response);
     kj::Promise<void> handleClientProtocolError(
         kj::HttpHeaders::ProtocolError error, kj::HttpService::Response& response) override;
     kj::Promise<void> handleApplicationError(
