Send each agent only the service it belongs to

Cause: every agent followed every service; at 4,500 agents and 420 services a whole state goes to each process that starts.

Change: an agent subscribes to the service its backend server announced and asks for the whole of it when that changes; a refused membership ends the contact instead of asking again at once.

Conclusion: balancers alone follow everything.

--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -4,6 +4,7 @@
 #include "observe/Log.h"
 
 #include <chrono>
+#include <kj/debug.h>
 #include <nlohmann/json.hpp>
 
 namespace yuccahook::control {
@@ -71,6 +72,7 @@
     m_thread.post([this, announcement](net::Loop& loop) {
         m_announcement = announcement;
         m_joined = false;
+        followService(announcement.service);
         loop.spawn(announceOnce());
     });
 }
@@ -123,26 +125,61 @@
 
 kj::Promise<void> ControlClient::followChanges()
 {
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    m_interrupt = kj::mv(paf.fulfiller);
+    return askForChanges().exclusiveJoin(kj::mv(paf.promise)).then([this] { return followChanges(); });
+}
+
+kj::Promise<void> ControlClient::askForChanges()
+{
+    const bool whole = m_needsWhole;
     auto request = m_connection->control.changesRequest();
     request.setSubscriber(m_subscriber);
-    request.setAfter(membership()->revision);
-    request.setAllServices(true);
-    return m_loop->timer().timeoutAfter(changesTimeout, request.send()).then([this](auto response) {
+    request.setAfter(whole ? 0 : membership()->revision);
+    request.setAllServices(!m_services.has_value());
+    if (m_services) {
+        auto names = request.initServices(m_services->size());
+        unsigned index = 0;
+        for (const auto& name : *m_services)
+            names.set(index++, name);
+    }
+    return m_loop->timer().timeoutAfter(changesTimeout, request.send()).then([this, whole](auto response) {
         const auto status = static_cast<ChangesStatus>(response.getStatus());
-        if (status == ChangesStatus::NotCurrent)
-            return kj::Promise<void>(KJ_EXCEPTION(DISCONNECTED, "control instance not current"));
+        KJ_REQUIRE(status != ChangesStatus::NotCurrent, "control instance is not in contact with a quorum");
         m_lastContactMillis = millisNow();
-        if (status == ChangesStatus::Newer) {
-            if (auto newer = flow::applied(*membership(), readDelta(response.getView())))
-                publish(std::move(newer));
-            else
-                observe::log(observe::Level::Error, "membership-refused",
-                    { { "revision", response.getView().getRevision() }, { "have", membership()->revision } });
-        }
-        return followChanges();
+        if (status == ChangesStatus::Newer)
+            take(readDelta(response.getView()), whole);
     });
 }
 
+void ControlClient::take(const flow::MembershipDelta& delta, bool whole)
+{
+    const auto before = membership();
+    flow::MembershipPointer after;
+    if (!whole)
+        after = flow::applied(*before, delta);
+    else if (delta.full && delta.revision >= before->revision
+        && (delta.cluster == before->cluster || before->cluster == 0))
+        after = flow::applied({}, delta);
+    if (!after) {
+        observe::log(observe::Level::Error, "membership-refused",
+            { { "revision", delta.revision }, { "have", before->revision } });
+        KJ_FAIL_REQUIRE("membership refused");
+    }
+    m_needsWhole = m_needsWhole && !whole;
+    publish(std::move(after));
+}
+
+void ControlClient::followService(const std::string& service)
+{
+    if (!m_services || m_services->contains(service))
+        return;
+    m_services = { service };
+    m_needsWhole = true;
+    if (m_interrupt.get())
+        m_interrupt->fulfill();
+}
+
 kj::Promise<void> ControlClient::keepAnnounced()
 {
     return announceOnce()
--- a/src/control/ControlClient.h
+++ b/src/control/ControlClient.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,9 @@
     /// Called on the control thread with each newer membership. Add before `start`.
     void onMembership(MembershipListener listener);
 
+    /// Follows only the announced service instead of all of them. Call before `start`.
+    void followAnnouncedOnly() { m_services.emplace(); }
+
     /// What to announce from now on; from any thread.
     void announce(const Announcement& announcement);
 
@@ -52,6 +56,9 @@
     kj::Promise<void> follow();
     kj::Promise<void> connect(std::size_t attempt);
     kj::Promise<void> followChanges();
+    kj::Promise<void> askForChanges();
+    void take(const flow::MembershipDelta& delta, bool whole);
+    void followService(const std::string& service);
     kj::Promise<void> keepAnnounced();
     kj::Promise<void> announceOnce();
 
@@ -70,6 +77,9 @@
     std::size_t m_nextAddress = 0;
     std::optional<Announcement> m_announcement;
     bool m_joined = false;
+    std::optional<std::set<std::string>> m_services; // all when empty
+    bool m_needsWhole = false; // the services followed have changed since the last whole state
+    kj::Own<kj::PromiseFulfiller<void>> m_interrupt; // of the call for changes in progress
 };
 
 } // namespace yuccahook::control
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -4,6 +4,7 @@
 #include "control/Announcement.h"
 #include "control/MembershipCodec.h"
 #include "control/NoteDifference.h"
+#include "control/ServiceFilter.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -160,6 +161,17 @@
         return AnnounceStatus::Joined;
     }
 
+    flow::MembershipDelta viewFor(ChangesParams::Reader params, std::uint64_t after) const
+    {
+        auto delta = m_node.m_state->changesAfter(after);
+        if (params.getAllServices())
+            return delta;
+        std::set<std::string> names;
+        for (const auto name : params.getServices())
+            names.insert(name.cStr());
+        return onlyServices(std::move(delta), m_node.m_state->membership(), names);
+    }
+
     void answer(ChangesContext& context, std::uint64_t after)
     {
         auto results = context.getResults();
@@ -168,7 +180,7 @@
             status = ChangesStatus::NotCurrent;
         } else if (m_node.m_state->membership().revision > after) {
             status = ChangesStatus::Newer;
-            writeDelta(results.initView(), m_node.m_state->changesAfter(after));
+            writeDelta(results.initView(), viewFor(context.getParams(), after));
         }
         results.setStatus(static_cast<std::uint8_t>(status));
     }
--- a/src/roles/Process.cpp
+++ b/src/roles/Process.cpp
@@ -38,6 +38,8 @@
     if (settings.balancer || settings.agent) {
         auto created = std::make_unique<control::ControlClient>(settings.name, settings.control);
         control::ControlClient& client = *created;
+        if (!settings.balancer)
+            client.followAnnouncedOnly();
         kernel.add(std::move(created));
         client.onMembership([&routes](const flow::MembershipPointer&) { routes.setReady(true); });
         routes.addStatus("revision", [&client] { return client.membership()->revision; });
--- /dev/null
+++ b/tests/control/ServiceFilterTest.cpp
@@ -0,0 +1,44 @@
+#include "control/ServiceFilter.h"
+
+#include "control/ClusterState.h"
+
+#include <doctest/doctest.h>
+
+using namespace yuccahook;
+
+TEST_CASE("A subscriber to one service follows that service and nothing else")
+{
+    control::ClusterState state(1);
+    state.apply(control::SubmitNote { R"({"number":1,"author":"ana","added":[
+        {"name":"listings","protocol":"http","address":"10.0.0.1:80"},
+        {"name":"inspections","protocol":"http","address":"10.0.0.2:80"}]})" });
+    const auto join = [&state](const std::string& agent, const std::string& service) {
+        flow::Member member;
+        member.agent = agent;
+        member.incarnation = 1;
+        member.service = state.membership().serviceNamed(service)->id;
+        state.apply(control::UpdateMembers { { member }, {}, {} });
+    };
+    join("agent-1", "listings");
+    join("agent-2", "inspections");
+
+    const auto view = [&state](std::uint64_t after) {
+        return control::onlyServices(state.changesAfter(after), state.membership(), { "listings" });
+    };
+    auto followed = flow::applied({}, view(0));
+    REQUIRE(followed);
+    CHECK(followed->services.size() == 1);
+    CHECK(followed->members.size() == 1);
+
+    SUBCASE("through every later revision")
+    {
+        join("agent-3", "inspections");
+        join("agent-4", "listings");
+        state.apply(control::UpdateMembers { {}, {}, { followed->members.front().id } });
+        followed = flow::applied(*followed, view(followed->revision));
+        REQUIRE(followed);
+        CHECK(followed->revision == state.membership().revision);
+        REQUIRE(followed->members.size() == 1);
+        CHECK(followed->members.front().agent == "agent-4");
+    }
+}
