--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -1,63 +1,92 @@
+#include "Report.h"
 #include "Scenario.h"
 
+#include <cxxopts.hpp>
+#include <fstream>
 #include <iostream>
 
 using namespace yuccahook::bench;
 
 namespace {
 
-int printHelp(std::ostream& out, int exitCode)
+constexpr int usageExitCode = 1;
+
+int printHelp(std::ostream& out, const cxxopts::Options& known, int exitCode)
 {
-    out << "yuccahook-bench SCENARIO [--seed N] [--json] [--key value ...]\n\n";
+    out << known.help() << "\nScenarios, with options of their own:\n";
     for (const auto& [name, scenario] : scenarios())
         out << "  " << name << "\n      " << scenario.summary << "\n      " << scenario.options << '\n';
     return exitCode;
 }
 
-void printTable(const nlohmann::json& result)
+cxxopts::Options knownOptions()
+{
+    cxxopts::Options known("yuccahook-bench", "Measures yuccahook beside a naive version.");
+    known.custom_help("SCENARIO [--key value ...]");
+    known.positional_help("");
+    known.add_options()("seed", "of the first run", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "repeat", "runs, each with the next seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "json", "one object on the last line")("report", "writes an HTML page", cxxopts::value<std::string>())(
+        "help", "prints this")("scenario", "", cxxopts::value<std::string>()->default_value(""));
+    known.parse_positional({ "scenario" });
+    known.allow_unrecognised_options();
+    return known;
+}
+
+// The scenario's own options are pairs of a key and a value; false when they are not.
+bool readPairs(const std::vector<std::string>& texts, ScenarioOptions& options)
 {
-    for (const auto& part : result.items()) {
-        if (!part.value().is_object()) {
-            std::cout << part.key() << ": " << part.value() << '\n';
-            continue;
-        }
-        std::cout << part.key() << '\n';
-        for (const auto& figure : part.value().items())
-            std::cout << "  " << figure.key() << ": " << figure.value() << '\n';
+    for (std::size_t index = 0; index < texts.size(); index += 2) {
+        if (!texts[index].starts_with("--") || index + 1 == texts.size())
+            return false;
+        options.values[texts[index].substr(2)] = texts[index + 1];
     }
+    return true;
+}
+
+std::vector<nlohmann::json> runAll(const Scenario& scenario, ScenarioOptions options, std::uint64_t repeats)
+{
+    std::vector<nlohmann::json> results;
+    results.reserve(repeats);
+    for (std::uint64_t run = 0; run < repeats; ++run, ++options.seed) {
+        if (repeats > 1)
+            std::cerr << "run " << run + 1 << " of " << repeats << ", seed " << options.seed << std::endl;
+        results.push_back(scenario.run(options));
+    }
+    return results;
 }
 
 } // namespace
 
 int main(int argumentCount, char** arguments)
 {
-    if (argumentCount < 2)
-        return printHelp(std::cerr, 1);
-    const std::string name = arguments[1];
-    if (name == "--help")
-        return printHelp(std::cout, 0);
+    auto known = knownOptions();
+    std::optional<cxxopts::ParseResult> parsed;
+    try {
+        parsed = known.parse(argumentCount, arguments);
+    } catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << error.what() << '\n';
+        return printHelp(std::cerr, known, usageExitCode);
+    }
+    if (parsed->count("help") > 0)
+        return printHelp(std::cout, known, 0);
+    const auto name = (*parsed)["scenario"].as<std::string>();
     const auto found = scenarios().find(name);
-    if (found == scenarios().end())
-        return printHelp(std::cerr, 1);
+    const auto repeats = (*parsed)["repeat"].as<std::uint64_t>();
     ScenarioOptions options;
-    bool json = false;
-    for (int index = 2; index < argumentCount; ++index) {
-        const std::string key = arguments[index];
-        if (key == "--json")
-            json = true;
-        else if (key == "--seed" && index + 1 < argumentCount)
-            options.seed = std::stoull(arguments[++index]);
-        else if (key.starts_with("--") && index + 1 < argumentCount)
-            options.values[key.substr(2)] = arguments[++index];
-        else
-            return printHelp(std::cerr, 1);
-    }
-    nlohmann::json result = found->second.run(options);
+    options.seed = (*parsed)["seed"].as<std::uint64_t>();
+    if (found == scenarios().end() || repeats == 0 || !readPairs(parsed->unmatched(), options))
+        return printHelp(std::cerr, known, usageExitCode);
+    nlohmann::json result = summarize(runAll(found->second, options, repeats));
     result["scenario"] = name;
     result["seed"] = options.seed;
-    if (json)
+    if (parsed->count("report") > 0) {
+        std::ofstream report((*parsed)["report"].as<std::string>());
+        report << toHtml(result, found->second.summary);
+    }
+    if (parsed->count("json") > 0)
         std::cout << result.dump() << std::endl;
     else
-        printTable(result);
+        std::cout << toTable(result);
     return 0;
 }
