--- a/src/roles/AgentTraffic.cpp
+++ b/src/roles/AgentTraffic.cpp
@@ -57,8 +57,6 @@
     observe::Counters& counters, std::atomic<std::uint64_t>& openFlows)
     : m_name(std::move(name))
     , m_settings(settings)
-    , m_loop(loop)
-    , m_counters(counters)
     , m_openFlows(openFlows)
     , m_flows(settings.maximumFlows)
     , m_requests(loop, counters)
--- a/src/roles/AgentTraffic.h
+++ b/src/roles/AgentTraffic.h
@@ -48,8 +48,6 @@
 
     const std::string m_name;
     const settings::AgentSettings m_settings;
-    net::Loop& m_loop;
-    observe::Counters& m_counters;
     std::atomic<std::uint64_t>& m_openFlows;
     flow::AgentFlows m_flows;
     AgentRequests m_requests;
