--- a/src/request/ClaimTable.cpp
+++ b/src/request/ClaimTable.cpp
@@ -113,6 +113,11 @@
 void ClaimTable::forgetAttempt(std::uint64_t attempt)
 {
     m_pending.erase(attempt);
+    rememberNeverRun(attempt);
+}
+
+void ClaimTable::rememberNeverRun(std::uint64_t attempt)
+{
     m_neverRun.insert(attempt);
     if (m_neverRun.size() > m_limits.maximumClaims)
         m_neverRun.erase(m_neverRun.begin()); // asked about it, this agent will say unknown
@@ -126,7 +131,7 @@
     const Run ended = std::move(run->second);
     m_runs.erase(run);
     if (state == ClaimState::NotRun)
-        m_neverRun.insert(attempt);
+        rememberNeverRun(attempt);
     const auto found = m_claims.find(ended.key);
     if (found == m_claims.end() || found->second.attempt != attempt || found->second.runner != ended.runner)
         return;
--- a/src/request/ClaimTable.h
+++ b/src/request/ClaimTable.h
@@ -135,6 +135,7 @@
     void store(const Claim& claim);
     void decide(std::uint64_t attempt, ClaimDecision::Kind kind, RequestReason reason, AnswerPointer answer = {});
     void forgetAttempt(std::uint64_t attempt);
+    void rememberNeverRun(std::uint64_t attempt);
     void report(std::uint32_t to, const Claim& claim, Time now);
     void query(const Claim& claim);
     void sendAcquire(std::uint64_t attempt, Pending& pending, Time now);
