Let the gate run admission on an event loop, set by release notes

Cause: the core had no place in a process, and its settings no words in a release note.

Change: AdmissionGate gives out slots as promises, carries offers through a transport and runs the core's timer. A service's requests may hold an object `admission`; its faults name their paths. A slot can ask for another attempt within the retry budget and may bring the connection of a peer's backend server. Agents hear each other's load with offers alone; what is older than a second counts as unknown.

--- a/bench/AdmissionModel.cpp
+++ b/bench/AdmissionModel.cpp
@@ -314,7 +314,7 @@
 
     void spreadLoads()
     {
-        if (m_clock.now() >= m_options.duration)
+        if (m_options.loadInterval == Time {} || m_clock.now() >= m_options.duration)
             return;
         for (std::uint32_t from = 0; from < m_options.targets; ++from) {
             for (std::uint32_t to = 0; to < m_options.targets; ++to)
--- a/bench/AdmissionModel.h
+++ b/bench/AdmissionModel.h
@@ -51,7 +51,7 @@
     std::uint32_t slots = 7;
     Time oneWay = std::chrono::microseconds(1500);
     Time duration = std::chrono::seconds(60);
-    Time loadInterval = std::chrono::seconds(1); ///< Between an agent's reports of its load to its peers.
+    Time loadInterval {}; ///< Between an agent's reports of its load to its peers, besides offers; 0: none.
     Time measureFrom = std::chrono::seconds(10);
     std::function<double(Time)> load; ///< Offered work over capacity.
     std::vector<Workload> workloads;
--- a/bench/HeadOfLineScenario.cpp
+++ b/bench/HeadOfLineScenario.cpp
@@ -18,7 +18,7 @@
     model.slots = static_cast<std::uint32_t>(options.number("slots", 7));
     model.oneWay = std::chrono::microseconds(options.number("one-way-us", 1500));
     model.duration = std::chrono::seconds(options.number("seconds", 110));
-    model.loadInterval = std::chrono::milliseconds(options.number("load-interval-ms", 1000));
+    model.loadInterval = std::chrono::milliseconds(options.number("load-interval-ms", 0));
     model.load = [load = options.real("load", 0.7)](Time) { return load; };
     model.faults.stragglerShare = options.real("straggler-share", 0.001);
     const double longFactor = options.real("long-factor", 20);
@@ -83,7 +83,8 @@
 const ScenarioRegistration registration { { "head-of-line",
     "Latency of short requests beside long ones, by queueing discipline",
     "--targets N (7) --slots N (7) --load R (0.7) --long-share R (0.5) --long-factor R (20) --straggler-share R "
-    "(0.001) --deviation R (0.7, of the logarithm) --load-interval-ms N (1000) --one-way-us N (1500) --seconds N (110)",
+    "(0.001) --deviation R (0.7, of the logarithm) --load-interval-ms N (0: with offers only) --one-way-us N (1500) "
+    "--seconds N (110)",
     run } };
 
 } // namespace
--- a/src/request/AgentAdmission.cpp
+++ b/src/request/AgentAdmission.cpp
@@ -14,7 +14,7 @@
     : m_settings(settings)
     , m_estimate(settings.priorServiceTime)
     , m_limit(settings.slowStart, settings.learnLimit)
-    , m_retries(settings.retryShare, settings.retryBurst)
+    , m_retries(settings.retryPercent / 100.0, settings.retryBurst)
     , m_peers(seed)
     , m_queue(settings)
 {
@@ -25,7 +25,7 @@
     AdmissionActions actions;
     m_settings = settings;
     m_limit.configure(settings.slowStart, settings.learnLimit);
-    m_retries = RetryBudget(settings.retryShare, settings.retryBurst);
+    m_retries = RetryBudget(settings.retryPercent / 100.0, settings.retryBurst);
     m_queue.configure(settings);
     dispatchWaiting(now, actions);
     return actions;
@@ -208,8 +208,7 @@
 void AgentAdmission::makeRoom(const Waiting& waiting, AdmissionTime now, AdmissionActions& actions)
 {
     const AdmissionTime bound = m_settings.maximumWait * std::max<std::uint32_t>(1, m_limit.at(now));
-    const AdmissionTime kept(
-        static_cast<AdmissionTime::rep>(static_cast<double>(bound.count()) * m_settings.minimumShare));
+    const AdmissionTime kept = bound * m_settings.minimumSharePercent / 100;
     while (m_queue.work() > bound) {
         const auto displaced = m_queue.popBelow(waiting.request.priority, kept);
         if (!displaced)
--- a/src/request/Gate.h
+++ b/src/request/Gate.h
@@ -4,7 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
-#include <kj/async.h>
+#include <kj/async-io.h>
 #include <kj/memory.h>
 #include <string>
 
@@ -26,6 +26,8 @@
 /// How a dispatched request ended at the backend server.
 enum class DispatchResult : std::uint8_t { Answered, Shed, Failed, Cancelled };
 
+struct Admission;
+
 /// The right to have one request in progress at the backend server; given back when destroyed.
 class Slot {
 public:
@@ -36,6 +38,12 @@
 
     /// Reports the end, once; a slot that goes without one was cancelled.
     virtual void finish(DispatchResult) { }
+
+    /// Reports a failed end in place of `finish` and asks for another slot for the same request.
+    virtual kj::Promise<Admission> retry(DispatchResult result);
+
+    /// A connection to the backend server that the slot belongs to, once; null for the agent's own.
+    virtual kj::Own<kj::AsyncIoStream> takeConnection() { return {}; }
 };
 
 /// A gate's answer: a slot, or why there is none.
@@ -45,13 +53,20 @@
     std::chrono::milliseconds retryAfter {}; ///< For refusals; 0 when nothing is known.
 };
 
+inline kj::Promise<Admission> Slot::retry(DispatchResult result)
+{
+    finish(result);
+    return Admission { {}, result == DispatchResult::Shed ? RequestReason::ShedByBackend : RequestReason::BackendLost,
+        {} };
+}
+
 /// Whom the HTTP front asks for a slot before it dispatches a request.
 class Gate {
 public:
     Gate() = default;
     Gate(const Gate&) = delete;
     Gate& operator=(const Gate&) = delete;
-    virtual ~Gate() = default;
+    virtual ~Gate() noexcept(false) = default;
 
     /// Resolves when the request may be dispatched or is refused. Dropping the promise gives up the place.
     virtual kj::Promise<Admission> admit(const RequestInfo& request) = 0;
--- a/src/request/RequestPolicy.cpp
+++ b/src/request/RequestPolicy.cpp
@@ -29,6 +29,8 @@
     reader.integer("deadlineMillis", policy.deadlineMillis, 1, maximumDeadlineMillis);
     reader.integer("retentionSeconds", policy.retentionSeconds, 1, maximumRetentionSeconds);
     reader.integer("maximumClaims", policy.maximumClaims, 1, maximumClaimCount);
+    reader.object("admission",
+        [&policy](settings::ObjectReader& admission) { readAdmissionSettings(admission, policy.admission); });
 }
 
 RequestPolicy parseRequestPolicy(std::string_view text)
--- a/src/request/RequestPolicy.h
+++ b/src/request/RequestPolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "request/AdmissionSettings.h"
 #include "settings/ObjectReader.h"
 
 #include <cstdint>
@@ -19,6 +20,8 @@
     std::uint32_t retentionSeconds = 600; ///< How long a claim and its answer are kept after the outcome.
     std::uint32_t maximumClaims = 10'000; ///< At each agent; at the bound new keys are refused as not run.
 
+    AdmissionSettings admission;
+
     bool isIdempotent(std::string_view method) const;
 
     bool operator==(const RequestPolicy&) const = default;
--- a/src/request/SlotQueue.cpp
+++ b/src/request/SlotQueue.cpp
@@ -84,7 +84,7 @@
 
 void SlotQueue::configure(const AdmissionSettings& settings)
 {
-    m_minimumShare = settings.minimumShare;
+    m_minimumShare = settings.minimumSharePercent / 100.0;
     m_longYields = settings.discipline != Discipline::FirstInFirstOut;
     m_discipline = makeDiscipline(settings);
 }
--- a/tests/request/AgentAdmissionTest.cpp
+++ b/tests/request/AgentAdmissionTest.cpp
@@ -174,7 +174,7 @@
 {
     AdmissionSettings settings;
     settings.retryBurst = 1;
-    settings.retryShare = 0;
+    settings.retryPercent = 0;
     AgentAdmission admission(settings, 1);
     admission.setPeers({ 7 });
     admission.setSlots(4, 0ns);
