Offer a request to a peer agent's slot over the trunk

An agent without a free slot asks one peer; the peer answers at once, and with a slot comes the end of a relay to the peer's backend server. The request's claim and its answer stay with the agent that received it, so nothing about at-most-once changes hands. A slot that is dropped, as by a lost trunk, is free again and its connection closed. While it drains, an agent offers what comes first and still runs for two seconds what no peer takes.

Not yet called by the agent.

--- a/schema/trunk.capnp
+++ b/schema/trunk.capnp
@@ -134,9 +134,41 @@
   # Messages may be lost with their connection: what matters is sent again.
 }
 
+struct SlotLoad {
+  # How busy a backend server is, as its agent knows.
+  running @0 :UInt32;
+  runningLong @1 :UInt32;
+  waiting @2 :UInt32;
+  slots @3 :UInt32;
+}
+
+struct SlotOffer {
+  # A request that an agent has no slot for. Its bytes follow through `end` once the offer is taken.
+  from @0 :UInt32;
+  load @1 :SlotLoad;
+  method @2 :Text;
+  path @3 :Text;
+  remainingNanos @4 :Int64; # until its deadline
+  idempotent @5 :Bool;
+  mayHaveRun @6 :Bool;
+  end @7 :StreamEnd;
+}
+
+interface OfferedSlot {
+  # A slot of another agent's backend server; dropped, it is free and its connection closed.
+  finish @0 (result :UInt8) -> (); # request::DispatchResult
+}
+
+interface SlotPeer {
+  # What agents of one service ask of each other about slots.
+  offer @0 (offer :SlotOffer) -> (load :SlotLoad, slot :OfferedSlot, end :StreamEnd);
+  # Answers at once; no slot when none is free. `end` leads to the backend server.
+}
+
 interface AgentNode {
   # The bootstrap interface of an agent's trunk.
   streams @0 () -> (trunk :StreamTrunk);
   flows @1 () -> (peer :FlowPeer);
   requests @2 () -> (peer :RequestPeer);
+  slots @3 () -> (peer :SlotPeer);
 }
--- a/src/request/AgentAdmission.cpp
+++ b/src/request/AgentAdmission.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::uint8_t maximumAttempts = 2;
+constexpr AdmissionTime drainGrace = std::chrono::seconds(2);
 
 } // namespace
 
@@ -46,13 +47,13 @@
     waiting.expected = m_estimate.expected(waiting.requestClass);
     waiting.isLong = isLong(waiting.expected);
     m_retries.earn();
-    const bool available = !m_draining && m_limit.slots() > 0;
+    const bool available = !m_refuseFrom && m_limit.slots() > 0;
     if (available && now + waiting.expected <= request.deadline && m_queue.mayStartNow(waiting, use(now))) {
         dispatch(std::move(waiting), now, actions);
         return actions;
     }
     if (request.offered)
-        refuse(waiting, m_draining ? RequestReason::Draining : RequestReason::ConcurrencyLimit, now, actions);
+        refuse(waiting, m_refuseFrom ? RequestReason::Draining : RequestReason::ConcurrencyLimit, now, actions);
     else if (now + waiting.expected > request.deadline)
         refuse(waiting, RequestReason::DeadlineUnmeetable, now, actions);
     else if (!offer(waiting, now, actions))
@@ -118,15 +119,9 @@
 
 AdmissionActions AgentAdmission::drain(AdmissionTime now)
 {
-    AdmissionActions actions;
-    m_draining = true;
-    while (!m_queue.waiting().empty()) {
-        Waiting waiting = m_queue.waiting().front();
-        m_queue.erase(waiting.request.id);
-        if (!offer(waiting, now, actions))
-            refuse(waiting, RequestReason::Draining, now, actions);
-    }
-    return actions;
+    if (!m_refuseFrom)
+        m_refuseFrom = now + drainGrace;
+    return {};
 }
 
 AdmissionActions AgentAdmission::advance(AdmissionTime now)
@@ -134,12 +129,12 @@
     AdmissionActions actions;
     std::vector<Waiting> late;
     for (const auto& waiting : m_queue.waiting()) {
-        if (now + waiting.expected > waiting.request.deadline)
+        if (isClosed(now) || now + waiting.expected > waiting.request.deadline)
             late.push_back(waiting);
     }
     for (const auto& waiting : late) {
         m_queue.erase(waiting.request.id);
-        refuse(waiting, RequestReason::DeadlineInQueue, now, actions);
+        refuse(waiting, isClosed(now) ? RequestReason::Draining : RequestReason::DeadlineInQueue, now, actions);
     }
     for (auto& [id, attempt] : m_running)
         hedgeOrCancel(attempt, now, actions);
@@ -150,6 +145,8 @@
 AdmissionTime AgentAdmission::nextDue(AdmissionTime now) const
 {
     AdmissionTime due = m_queue.size() > 0 ? m_limit.nextOpening(now) : AdmissionTime::max();
+    if (m_queue.size() > 0 && m_refuseFrom)
+        due = std::min(due, *m_refuseFrom);
     for (const auto& waiting : m_queue.waiting())
         due = std::min(due, waiting.request.deadline - waiting.expected + AdmissionTime(1));
     for (const auto& [id, attempt] : m_running) {
@@ -192,7 +189,7 @@
 
 RequestReason AgentAdmission::reasonToRefuse(const Waiting& waiting, AdmissionTime now) const
 {
-    if (m_draining)
+    if (isClosed(now))
         return RequestReason::Draining;
     if (m_limit.slots() == 0)
         return RequestReason::BackendUnreachable;
@@ -252,7 +249,7 @@
 
 void AgentAdmission::dispatchWaiting(AdmissionTime now, AdmissionActions& actions)
 {
-    if (m_draining)
+    if (isClosed(now))
         return;
     while (m_queue.size() > 0) {
         auto waiting = m_queue.pop(use(now), now);
--- a/src/request/AgentAdmission.h
+++ b/src/request/AgentAdmission.h
@@ -40,7 +40,8 @@
     /// The caller is gone, or a hedge was answered first. A dispatched attempt keeps its slot until `finish`.
     AdmissionActions cancel(std::uint64_t id, AdmissionTime now);
 
-    /// Refuses what waits and all that comes; what runs goes on.
+    /// Offers all that comes to peers from now on and refuses what none takes after a few seconds, in which requests
+    /// that were under way when the drain began still run.
     AdmissionActions drain(AdmissionTime now);
 
     /// Does what is due at `now`.
@@ -66,6 +67,7 @@
 
     SlotUse use(AdmissionTime now) const;
     bool isLong(AdmissionTime duration) const;
+    bool isClosed(AdmissionTime now) const { return m_refuseFrom && now >= *m_refuseFrom; }
     AdmissionTime expectedWait(const Waiting& newcomer, AdmissionTime now) const;
     RequestReason reasonToRefuse(const Waiting& waiting, AdmissionTime now) const;
     void makeRoom(const Waiting& waiting, AdmissionTime now, AdmissionActions& actions);
@@ -84,7 +86,7 @@
     RetryBudget m_retries;
     PeerOffer m_peers;
     SlotQueue m_queue;
-    bool m_draining = false;
+    std::optional<AdmissionTime> m_refuseFrom; // set by a drain
     std::unordered_map<std::uint64_t, Attempt> m_running;
     std::unordered_map<std::uint64_t, Offered> m_offered;
 };
--- /dev/null
+++ b/src/request/PeerOfferTransport.cpp
@@ -0,0 +1,101 @@
+#include "request/PeerOfferTransport.h"
+
+#include "net/StreamRelay.h"
+#include "request/PeerOfferCodec.h"
+
+#include <kj/debug.h>
+
+namespace yuccahook::request {
+
+namespace {
+
+constexpr auto offerTimeout = 250 * kj::MILLISECONDS;
+
+/// A slot of another agent's backend server. Dropped, it frees itself there.
+class PeerSlot final : public Slot {
+public:
+    PeerSlot(schema::OfferedSlot::Client slot, kj::Own<net::StreamRelay> relay, kj::Own<kj::AsyncIoStream> connection)
+        : m_slot(kj::mv(slot))
+        , m_relay(kj::mv(relay))
+        , m_connection(kj::mv(connection))
+    {
+    }
+
+    ~PeerSlot() noexcept(false) override { m_relay->reset(flow::RefusalReason::None); }
+
+    void finish(DispatchResult result) override
+    {
+        auto request = m_slot.finishRequest();
+        request.setResult(static_cast<std::uint8_t>(result));
+        request.send().detach([](kj::Exception&&) {}); // a lost trunk frees the slot as well
+    }
+
+    kj::Own<kj::AsyncIoStream> takeConnection() override { return kj::mv(m_connection); }
+
+private:
+    schema::OfferedSlot::Client m_slot;
+    kj::Own<net::StreamRelay> m_relay;
+    kj::Own<kj::AsyncIoStream> m_connection;
+};
+
+} // namespace
+
+kj::Promise<OfferAnswer> offerSlot(schema::SlotPeer::Client peer, std::uint32_t self, const AdmissionRequest& request,
+    SlotLoad load, AdmissionTime now)
+{
+    auto pipe = kj::newTwoWayPipe();
+    auto relay = kj::refcounted<net::StreamRelay>(kj::mv(pipe.ends[0]));
+    auto call = peer.offerRequest();
+    auto offer = call.initOffer();
+    writeOffer(offer, request, now);
+    offer.setFrom(self);
+    writeLoad(offer.initLoad(), load);
+    offer.setEnd(relay->end());
+    return call.send().then(
+        [relay = kj::mv(relay), connection = kj::mv(pipe.ends[1])](auto&& response) mutable -> OfferAnswer {
+            const SlotLoad load = readLoad(response.getLoad());
+            if (!response.hasSlot())
+                return { {}, load };
+            relay->attach(response.getEnd(), 0);
+            return { kj::heap<PeerSlot>(response.getSlot(), kj::mv(relay), kj::mv(connection)), load };
+        });
+}
+
+PeerOfferTransport::PeerOfferTransport(net::Loop& loop, net::TrunkPool& pool)
+    : m_loop(loop)
+    , m_pool(pool)
+{
+}
+
+void PeerOfferTransport::setMembership(flow::MembershipPointer membership, std::uint32_t self)
+{
+    m_membership = std::move(membership);
+    m_self = self;
+}
+
+std::vector<std::uint32_t> PeerOfferTransport::peers() const
+{
+    std::vector<std::uint32_t> peers;
+    const auto* self = m_membership ? m_membership->member(m_self) : nullptr;
+    if (!self)
+        return peers;
+    for (const auto& member : m_membership->members) {
+        const bool takesWork = member.state == flow::MemberState::Ready;
+        if (member.service == self->service && member.id != m_self && takesWork)
+            peers.push_back(member.id);
+    }
+    return peers;
+}
+
+kj::Promise<OfferAnswer> PeerOfferTransport::offer(std::uint32_t peer, const AdmissionRequest& request, SlotLoad load)
+{
+    const auto* member = m_membership->member(peer);
+    KJ_REQUIRE(member != nullptr, "the peer has left");
+    auto offered = m_pool.connect(*member).then([this, request, load](schema::AgentNode::Client node) {
+        const AdmissionTime now((m_loop.timer().now() - kj::origin<kj::TimePoint>()) / kj::NANOSECONDS);
+        return offerSlot(node.slotsRequest().send().getPeer(), m_self, request, load, now);
+    });
+    return m_loop.timer().timeoutAfter(offerTimeout, kj::mv(offered));
+}
+
+} // namespace yuccahook::request
--- /dev/null
+++ b/src/request/PeerOfferTransport.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "flow/Membership.h"
+#include "net/LoopThread.h"
+#include "net/TrunkPool.h"
+#include "request/AdmissionGate.h"
+#include "trunk.capnp.h"
+
+namespace yuccahook::request {
+
+/// Makes an offer to an agent and turns its answer into a slot.
+kj::Promise<OfferAnswer> offerSlot(schema::SlotPeer::Client peer, std::uint32_t self, const AdmissionRequest& request,
+    SlotLoad load, AdmissionTime now);
+
+/// Carries offers over the agents' trunks.
+class PeerOfferTransport final : public OfferTransport {
+public:
+    PeerOfferTransport(net::Loop& loop, net::TrunkPool& pool);
+
+    void setMembership(flow::MembershipPointer membership, std::uint32_t self);
+
+    /// The members that an offer may go to.
+    std::vector<std::uint32_t> peers() const;
+
+    kj::Promise<OfferAnswer> offer(std::uint32_t peer, const AdmissionRequest& request, SlotLoad load) override;
+
+private:
+    net::Loop& m_loop;
+    net::TrunkPool& m_pool;
+    flow::MembershipPointer m_membership;
+    std::uint32_t m_self = 0;
+};
+
+} // namespace yuccahook::request
