Ask the admission gate for a slot before each request is dispatched

Cause: an agent passed every request on at once, whatever slots its backend server had announced.

Change: the agent's HTTP front asks AdmissionGate, which gets the slots from the announcement and its settings from the service. A request may run over a peer agent's slot; one whose backend server refuses the connection, or breaks off before an idempotent answer began, asks for another slot within the retry budget. Refusals carry Yuccahook-Reason and Retry-After, and a 503 of the backend server counts as shed. An agent that drains sends what still comes to its peers.

Tests: HTTP front, gate and peer over pipes with a backend server that holds its answers: never above the slots, next after an answer, caller gone, refusal with reason and counter, peer's slot, backend server down with and without a peer.

--- a/src/request/AdmissionGate.h
+++ b/src/request/AdmissionGate.h
@@ -24,7 +24,7 @@
     OfferTransport() = default;
     OfferTransport(const OfferTransport&) = delete;
     OfferTransport& operator=(const OfferTransport&) = delete;
-    virtual ~OfferTransport() = default;
+    virtual ~OfferTransport() noexcept(false) = default;
 
     /// Fails when the peer cannot be reached; the peer's slot, if it gave one, frees itself.
     virtual kj::Promise<OfferAnswer> offer(std::uint32_t peer, const AdmissionRequest& request, SlotLoad load) = 0;
--- a/src/request/Exchange.h
+++ b/src/request/Exchange.h
@@ -33,6 +33,7 @@
     AnswerPointer answer; ///< Of a buffered one: whole.
     std::chrono::milliseconds retryAfter {};
     bool answerBegan = false;
+    bool shed = false; ///< The backend server answered that it is overloaded.
     kj::Own<Slot> slot;
     kj::Own<Upstream::Connection> connection;
     CuttableStream* caller = nullptr; ///< Of a streamed one; valid while its promise is held.
--- a/src/request/HttpFront.cpp
+++ b/src/request/HttpFront.cpp
@@ -12,8 +12,10 @@
 
 constexpr std::size_t maximumKeyCharacters = 128;
 constexpr kj::StringPtr outcomeHeader = "Yuccahook-Outcome"_kj;
+constexpr kj::StringPtr reasonHeader = "Yuccahook-Reason"_kj;
 constexpr unsigned noContent = 204;
 constexpr unsigned notModified = 304;
+constexpr unsigned overloaded = 503;
 
 // Visible ASCII, without the comma that joins repeated headers.
 bool isKey(const std::string& key)
@@ -232,21 +234,54 @@
 {
     if (exchange.machine.ended())
         return kj::READY_NOW;
-    return m_upstream.connect(true).then(
-        [this, &exchange](kj::Own<Upstream::Connection> connection) -> kj::Promise<void> {
-            exchange.connection = kj::mv(connection);
-            return m_loop.timer()
-                .timeoutAfter(remaining(exchange), kj::evalNow([&] { return takeAnswer(exchange); }))
-                .catch_([this, &exchange](kj::Exception&& exception) {
-                    const auto broken
-                        = exchange.answerBegan ? RequestReason::AnswerTruncated : RequestReason::BackendLost;
-                    fail(exchange, isTimeout(exception) ? RequestReason::DeadlinePassed : broken);
-                });
-        },
-        [this, &exchange](kj::Exception&&) -> kj::Promise<void> {
-            fail(exchange, RequestReason::BackendUnreachable);
-            return kj::READY_NOW;
-        });
+    return connect(exchange, true)
+        .then(
+            [this, &exchange](kj::Own<Upstream::Connection> connection) -> kj::Promise<void> {
+                exchange.connection = kj::mv(connection);
+                return m_loop.timer()
+                    .timeoutAfter(remaining(exchange), kj::evalNow([&] { return takeAnswer(exchange); }))
+                    .catch_([this, &exchange](kj::Exception&& exception) {
+                        const auto broken
+                            = exchange.answerBegan ? RequestReason::AnswerTruncated : RequestReason::BackendLost;
+                        fail(exchange, isTimeout(exception) ? RequestReason::DeadlinePassed : broken);
+                    });
+            },
+            [this, &exchange](kj::Exception&&) {
+                return takeOtherSlot(exchange, DispatchResult::Shed, RequestReason::BackendUnreachable)
+                    .then([this, &exchange] { return dispatch(exchange); });
+            });
+}
+
+kj::Promise<kj::Own<Upstream::Connection>> HttpFront::connect(Exchange& exchange, bool fresh)
+{
+    auto stream = exchange.slot->takeConnection();
+    if (stream.get())
+        return m_upstream.adopt(kj::mv(stream));
+    return m_upstream.connect(fresh);
+}
+
+// Ends the request for that reason when it gets no other slot.
+kj::Promise<void> HttpFront::takeOtherSlot(Exchange& exchange, DispatchResult result, RequestReason reason)
+{
+    exchange.connection = nullptr;
+    return m_loop.timer()
+        .timeoutAfter(remaining(exchange), exchange.slot->retry(result))
+        .then(
+            [this, &exchange, reason](Admission&& admission) {
+                exchange.slot = kj::mv(admission.slot);
+                exchange.retryAfter = admission.retryAfter;
+                if (!exchange.slot.get())
+                    fail(exchange, reason);
+            },
+            [this, &exchange, reason](kj::Exception&&) { fail(exchange, reason); });
+}
+
+kj::Promise<void> HttpFront::streamElsewhere(
+    Exchange& exchange, Response& response, DispatchResult result, RequestReason reason)
+{
+    return takeOtherSlot(exchange, result, reason).then([this, &exchange, &response]() -> kj::Promise<void> {
+        return exchange.machine.ended() ? reply(exchange, response) : stream(exchange, response, true);
+    });
 }
 
 // From here on the backend server may run the request.
@@ -268,6 +303,7 @@
 {
     return send(exchange).then([this, &exchange](kj::HttpClient::Response&& answer) -> kj::Promise<void> {
         exchange.answerBegan = true;
+        exchange.shed = answer.statusCode == overloaded;
         if (!hasFraming(exchange.method, answer)) {
             fail(exchange, RequestReason::AnswerTruncated);
             return kj::READY_NOW;
@@ -301,34 +337,39 @@
 
 kj::Promise<void> HttpFront::stream(Exchange& exchange, Response& response, bool fresh)
 {
-    return m_upstream.connect(fresh).then(
-        [this, &exchange, &response](kj::Own<Upstream::Connection> connection) -> kj::Promise<void> {
-            exchange.connection = kj::mv(connection);
-            return m_loop.timer()
-                .timeoutAfter(remaining(exchange), kj::evalNow([&] { return send(exchange); }))
-                .then([this, &exchange, &response](
-                          kj::HttpClient::Response&& answer) { return pumpAnswer(exchange, kj::mv(answer), response); },
-                    [this, &exchange, &response](kj::Exception&& exception) -> kj::Promise<void> {
-                        if (exchange.connection->reused && !isTimeout(exception)) {
-                            m_counters.counter(
-                                "requests_retried_total", "reason", kernel::nameOf(RequestReason::RetriedIdempotent))
-                                += 1;
-                            return stream(exchange, response, true);
-                        }
-                        fail(exchange,
-                            isTimeout(exception) ? RequestReason::DeadlinePassed : RequestReason::BackendLost);
-                        return reply(exchange, response);
-                    });
-        },
-        [this, &exchange, &response](kj::Exception&&) {
-            fail(exchange, RequestReason::BackendUnreachable);
-            return reply(exchange, response);
-        });
+    return connect(exchange, fresh)
+        .then(
+            [this, &exchange, &response](kj::Own<Upstream::Connection> connection) -> kj::Promise<void> {
+                exchange.connection = kj::mv(connection);
+                return m_loop.timer()
+                    .timeoutAfter(remaining(exchange), kj::evalNow([&] { return send(exchange); }))
+                    .then(
+                        [this, &exchange, &response](kj::HttpClient::Response&& answer) {
+                            return pumpAnswer(exchange, kj::mv(answer), response);
+                        },
+                        [this, &exchange, &response](kj::Exception&& exception) -> kj::Promise<void> {
+                            if (exchange.connection->reused && !isTimeout(exception)) {
+                                m_counters.counter("requests_retried_total", "reason",
+                                    kernel::nameOf(RequestReason::RetriedIdempotent))
+                                    += 1;
+                                return stream(exchange, response, true);
+                            }
+                            if (!isTimeout(exception))
+                                return streamElsewhere(
+                                    exchange, response, DispatchResult::Failed, RequestReason::BackendLost);
+                            fail(exchange, RequestReason::DeadlinePassed);
+                            return reply(exchange, response);
+                        });
+            },
+            [this, &exchange, &response](kj::Exception&&) {
+                return streamElsewhere(exchange, response, DispatchResult::Shed, RequestReason::BackendUnreachable);
+            });
 }
 
 kj::Promise<void> HttpFront::pumpAnswer(Exchange& exchange, kj::HttpClient::Response answer, Response& response)
 {
     exchange.answerBegan = true;
+    exchange.shed = answer.statusCode == overloaded;
     if (!hasFraming(exchange.method, answer)) {
         fail(exchange, RequestReason::AnswerTruncated);
         return reply(exchange, response);
@@ -382,7 +423,8 @@
         const bool answered = exchange.machine.state() == RequestState::Answered;
         const bool cancelled = exchange.machine.state() == RequestState::Cancelled;
         const auto failed = cancelled ? DispatchResult::Cancelled : DispatchResult::Failed;
-        exchange.slot->finish(answered ? DispatchResult::Answered : failed);
+        const auto whole = exchange.shed ? DispatchResult::Shed : DispatchResult::Answered;
+        exchange.slot->finish(answered ? whole : failed);
         exchange.slot = nullptr;
     }
 }
@@ -412,6 +454,7 @@
     kj::HttpHeaders headers(*m_headers);
     headers.set(kj::HttpHeaderId::CONTENT_TYPE, "application/json");
     headers.add(outcomeHeader, kj::str(kernel::nameOf(outcome).data()));
+    headers.add(reasonHeader, kj::str(kernel::nameOf(reason).data()));
     if (retryAfter.count() > 0)
         headers.add("Retry-After", kj::str(std::chrono::ceil<std::chrono::seconds>(retryAfter).count()));
     auto output = response.send(status.code, status.text, headers, body.size());
--- a/src/request/HttpFront.h
+++ b/src/request/HttpFront.h
@@ -73,6 +73,10 @@
     kj::Promise<void> admit(Exchange& exchange);
     kj::Promise<void> dispatch(Exchange& exchange);
     kj::Promise<void> takeAnswer(Exchange& exchange);
+    kj::Promise<kj::Own<Upstream::Connection>> connect(Exchange& exchange, bool fresh);
+    kj::Promise<void> takeOtherSlot(Exchange& exchange, DispatchResult result, RequestReason reason);
+    kj::Promise<void> streamElsewhere(
+        Exchange& exchange, Response& response, DispatchResult result, RequestReason reason);
     kj::Promise<kj::HttpClient::Response> send(Exchange& exchange);
     kj::Promise<void> reply(Exchange& exchange, Response& response);
     kj::Promise<void> replyVerdict(
--- a/src/request/Upstream.cpp
+++ b/src/request/Upstream.cpp
@@ -28,15 +28,29 @@
         return kj::mv(connection);
     }
     return m_timer.timeoutAfter(connectTimeout, m_connector()).then([this](kj::Own<kj::AsyncIoStream> stream) {
-        auto connection = kj::heap<Connection>();
-        connection->client = kj::newHttpClient(m_headers, *stream);
-        connection->stream = kj::mv(stream);
-        return connection;
+        return over(kj::mv(stream));
     });
 }
 
+kj::Own<Upstream::Connection> Upstream::adopt(kj::Own<kj::AsyncIoStream> stream)
+{
+    auto connection = over(kj::mv(stream));
+    connection->belongsToSlot = true;
+    return connection;
+}
+
+kj::Own<Upstream::Connection> Upstream::over(kj::Own<kj::AsyncIoStream> stream)
+{
+    auto connection = kj::heap<Connection>();
+    connection->client = kj::newHttpClient(m_headers, *stream);
+    connection->stream = kj::mv(stream);
+    return connection;
+}
+
 void Upstream::release(kj::Own<Connection> connection)
 {
+    if (connection->belongsToSlot)
+        return;
     connection->idleSince = m_timer.now();
     m_idle.push_back(kj::mv(connection));
     if (m_idle.size() > maximumIdle)
--- a/src/request/Upstream.h
+++ b/src/request/Upstream.h
@@ -17,6 +17,7 @@
         kj::Own<kj::AsyncIoStream> stream;
         kj::Own<kj::HttpClient> client;
         bool reused = false;
+        bool belongsToSlot = false; ///< Leads to another agent's backend server.
         kj::TimePoint idleSince = kj::origin<kj::TimePoint>();
     };
 
@@ -29,12 +30,17 @@
     /// asks for a fresh one.
     kj::Promise<kj::Own<Connection>> connect(bool fresh);
 
+    /// A connection over a stream that came with a slot.
+    kj::Own<Connection> adopt(kj::Own<kj::AsyncIoStream> stream);
+
     /// Takes back a connection whose answer was read to its end.
     void release(kj::Own<Connection> connection);
 
     std::size_t idle() const { return m_idle.size(); }
 
 private:
+    kj::Own<Connection> over(kj::Own<kj::AsyncIoStream> stream);
+
     kj::Timer& m_timer;
     const kj::HttpHeaderTable& m_headers;
     Connector m_connector;
--- a/src/roles/Agent.cpp
+++ b/src/roles/Agent.cpp
@@ -104,13 +104,14 @@
     announcement.incarnation = sameServer ? m_announcement->incarnation : newIncarnation();
     announcement.draining = announcement.draining || m_drainBegan != 0;
     m_announcement = announcement;
-    onTraffic(
-        [backend, incarnation = announcement.incarnation, draining = announcement.draining](AgentTraffic& traffic) {
-            traffic.setIncarnation(incarnation);
-            traffic.setBackend(backend);
-            if (draining)
-                traffic.drain();
-        });
+    onTraffic([backend, slots = announcement.slots, incarnation = announcement.incarnation,
+                  draining = announcement.draining](AgentTraffic& traffic) {
+        traffic.setIncarnation(incarnation);
+        traffic.setBackend(backend);
+        traffic.setSlots(slots);
+        if (draining)
+            traffic.drain();
+    });
     m_client.announce(announcement);
     return { 200, "application/json", R"({"status":"announced"})" };
 }
--- a/src/roles/AgentRequests.cpp
+++ b/src/roles/AgentRequests.cpp
@@ -1,6 +1,9 @@
 #include "roles/AgentRequests.h"
 
+#include "request/PeerOfferServer.h"
+
 #include <kj/debug.h>
+#include <random>
 
 namespace yuccahook::roles {
 
@@ -8,6 +11,8 @@
     : m_loop(loop)
     , m_peers(loop)
     , m_claims(loop, m_peers, counters)
+    , m_offers(loop, m_peers)
+    , m_gate(loop.timer(), m_offers, counters, std::random_device {}())
     , m_front(
           loop, m_claims, m_gate, [this] { return connectBackend(); }, counters)
 {
@@ -22,7 +27,10 @@
         const auto policy = request::parseRequestPolicy(service->requests);
         m_claims.setPolicy(policy);
         m_front.setService(service->id, policy);
+        m_gate.setSettings(policy.admission);
     }
+    m_offers.setMembership(membership, member);
+    m_gate.setPeers(m_offers.peers());
     m_claims.setMembership(membership, member);
 }
 
@@ -31,6 +39,11 @@
     return m_front.serve(kj::mv(stream));
 }
 
+schema::SlotPeer::Client AgentRequests::slots()
+{
+    return kj::heap<request::PeerOfferServer>(m_loop.timer(), m_gate, [this] { return connectBackend(); });
+}
+
 kj::Promise<kj::Own<kj::AsyncIoStream>> AgentRequests::connectBackend()
 {
     KJ_REQUIRE(m_backend.has_value(), "no backend server");
--- a/src/roles/AgentRequests.h
+++ b/src/roles/AgentRequests.h
@@ -5,9 +5,10 @@
 #include "net/LoopThread.h"
 #include "net/TrunkPool.h"
 #include "observe/Counters.h"
+#include "request/AdmissionGate.h"
 #include "request/Claims.h"
-#include "request/Gate.h"
 #include "request/HttpFront.h"
+#include "request/PeerOfferTransport.h"
 
 #include <cstdint>
 #include <kj/async-io.h>
@@ -25,11 +26,18 @@
     void setMembership(const flow::MembershipPointer& membership, std::uint32_t member);
     void setBackend(const net::Address& address) { m_backend = address; }
 
+    /// How many requests the backend server takes at once.
+    void setSlots(std::uint32_t slots) { m_gate.setSlots(slots); }
+
+    /// Sends new requests to peers, and refuses what none takes a little later.
+    void drain() { m_gate.drain(); }
+
     /// Serves a caller's stream until it ends.
     kj::Own<request::HttpFront::Served> serve(kj::Own<kj::AsyncIoStream> stream);
 
     /// The capability that other agents use; this object must outlive its connections.
     schema::RequestPeer::Client peer() { return m_claims.peer(); }
+    schema::SlotPeer::Client slots();
 
 private:
     kj::Promise<kj::Own<kj::AsyncIoStream>> connectBackend();
@@ -38,7 +46,8 @@
     std::optional<net::Address> m_backend;
     net::TrunkPool m_peers;
     request::Claims m_claims;
-    request::OpenGate m_gate;
+    request::PeerOfferTransport m_offers;
+    request::AdmissionGate m_gate;
     request::HttpFront m_front;
 };
 
--- a/src/roles/AgentTraffic.cpp
+++ b/src/roles/AgentTraffic.cpp
@@ -26,6 +26,7 @@
         : m_streams(traffic.m_streams.trunk())
         , m_flows(traffic.m_peers.peer())
         , m_requests(traffic.m_requests.peer())
+        , m_slots(traffic.m_requests.slots())
     {
     }
 
@@ -47,10 +48,17 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> slots(SlotsContext context) override
+    {
+        context.getResults().setPeer(m_slots);
+        return kj::READY_NOW;
+    }
+
 private:
     schema::StreamTrunk::Client m_streams;
     schema::FlowPeer::Client m_flows;
     schema::RequestPeer::Client m_requests;
+    schema::SlotPeer::Client m_slots;
 };
 
 AgentTraffic::AgentTraffic(std::string name, const settings::AgentSettings& settings, net::Loop& loop,
@@ -115,10 +123,13 @@
     m_requests.setBackend(address);
 }
 
+void AgentTraffic::setSlots(std::uint32_t slots) { m_requests.setSlots(slots); }
+
 void AgentTraffic::drain()
 {
     m_flows.drain();
     m_streams.drain();
+    m_requests.drain();
 }
 
 kj::Promise<void> AgentTraffic::acceptTrunks()
--- a/src/roles/AgentTraffic.h
+++ b/src/roles/AgentTraffic.h
@@ -34,6 +34,9 @@
     /// Where the backend server takes its traffic.
     void setBackend(const net::Address& address);
 
+    /// How many requests it takes at once.
+    void setSlots(std::uint32_t slots);
+
     /// Refuses new work from now on.
     void drain();
 
