--- a/src/request/HttpFront.cpp
+++ b/src/request/HttpFront.cpp
@@ -234,7 +234,7 @@
 {
     if (exchange.machine.ended())
         return kj::READY_NOW;
-    return connect(exchange, true)
+    return connectFor(exchange, true)
         .then(
             [this, &exchange](kj::Own<Upstream::Connection> connection) -> kj::Promise<void> {
                 exchange.connection = kj::mv(connection);
@@ -252,7 +252,7 @@
             });
 }
 
-kj::Promise<kj::Own<Upstream::Connection>> HttpFront::connect(Exchange& exchange, bool fresh)
+kj::Promise<kj::Own<Upstream::Connection>> HttpFront::connectFor(Exchange& exchange, bool fresh)
 {
     auto stream = exchange.slot->takeConnection();
     if (stream.get())
@@ -337,7 +337,7 @@
 
 kj::Promise<void> HttpFront::stream(Exchange& exchange, Response& response, bool fresh)
 {
-    return connect(exchange, fresh)
+    return connectFor(exchange, fresh)
         .then(
             [this, &exchange, &response](kj::Own<Upstream::Connection> connection) -> kj::Promise<void> {
                 exchange.connection = kj::mv(connection);
--- a/src/request/HttpFront.h
+++ b/src/request/HttpFront.h
@@ -73,7 +73,7 @@
     kj::Promise<void> admit(Exchange& exchange);
     kj::Promise<void> dispatch(Exchange& exchange);
     kj::Promise<void> takeAnswer(Exchange& exchange);
-    kj::Promise<kj::Own<Upstream::Connection>> connect(Exchange& exchange, bool fresh);
+    kj::Promise<kj::Own<Upstream::Connection>> connectFor(Exchange& exchange, bool fresh);
     kj::Promise<void> takeOtherSlot(Exchange& exchange, DispatchResult result, RequestReason reason);
     kj::Promise<void> streamElsewhere(
         Exchange& exchange, Response& response, DispatchResult result, RequestReason reason);
--- a/tests/request/HttpAdmissionTest.cpp
+++ b/tests/request/HttpAdmissionTest.cpp
@@ -22,7 +22,7 @@
     {
     }
 
-    kj::Promise<kj::Own<kj::AsyncIoStream>> connect()
+    kj::Promise<kj::Own<kj::AsyncIoStream>> open()
     {
         if (!reachable)
             return KJ_EXCEPTION(DISCONNECTED, "refused");
@@ -84,7 +84,7 @@
         , claims(loop, pool, counters)
         , gate(loop.timer(), transport, counters, 1)
         , front(
-              loop, claims, gate, [this] { return backend.connect(); }, counters)
+              loop, claims, gate, [this] { return backend.open(); }, counters)
     {
         front.setService(1, {});
         gate.setSlots(1);
@@ -213,7 +213,7 @@
     {
         Agent peer(loop, "there");
         agent.transport.peer = schema::SlotPeer::Client(
-            kj::heap<PeerOfferServer>(loop.timer(), peer.gate, [&peer] { return peer.backend.connect(); }));
+            kj::heap<PeerOfferServer>(loop.timer(), peer.gate, [&peer] { return peer.backend.open(); }));
         agent.gate.setPeers({ 2 });
         auto third = caller.get("/3");
         caller.settle();
@@ -238,7 +238,7 @@
     SUBCASE("When there is one")
     {
         agent.transport.peer = schema::SlotPeer::Client(
-            kj::heap<PeerOfferServer>(loop.timer(), peer.gate, [&peer] { return peer.backend.connect(); }));
+            kj::heap<PeerOfferServer>(loop.timer(), peer.gate, [&peer] { return peer.backend.open(); }));
         agent.gate.setPeers({ 2 });
         auto answer = caller.get("/1");
         caller.settle();
--- a/tests/request/PeerOfferTest.cpp
+++ b/tests/request/PeerOfferTest.cpp
@@ -19,7 +19,7 @@
     {
     }
 
-    kj::Promise<kj::Own<kj::AsyncIoStream>> connect()
+    kj::Promise<kj::Own<kj::AsyncIoStream>> open()
     {
         if (!reachable)
             return KJ_EXCEPTION(DISCONNECTED, "refused");
@@ -74,7 +74,7 @@
     observe::Counters counters;
     AdmissionGate gate(timer, transport, counters, 1);
     gate.setSlots(1);
-    schema::SlotPeer::Client peer = kj::heap<PeerOfferServer>(timer, gate, [&backend] { return backend.connect(); });
+    schema::SlotPeer::Client peer = kj::heap<PeerOfferServer>(timer, gate, [&backend] { return backend.open(); });
     auto taken = offerSlot(peer, 7, query(), { 3, 1, 2, 3 }, 0ns).wait(scope);
     REQUIRE(taken.slot.get() != nullptr);
     CHECK(gate.load().running == 1);
