--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -350,10 +350,14 @@
         }
         m_log->propose(SubmitNote { text }, [this, text, &reply, done](ProposeStatus status) {
             m_counters.counter("notes_submitted_total", "status", kernel::nameOf(status)) += 1;
-            if (status == ProposeStatus::Committed)
-                reply = toReply(m_state->judge(text)); // a resend of what was applied gets its answer
+            // A resend of what was applied gets its answer. A note that was refused when it was applied and would pass
+            // now is not accepted: its author sends it again.
+            const auto outcome = m_state->judge(text);
+            const bool stands = outcome.status != NoteStatus::Accepted || m_state->notes().contains(outcome.number);
+            if (status == ProposeStatus::Committed && stands)
+                reply = toReply(outcome);
             else
-                reply = errorReply(503, kernel::nameOf(status));
+                reply = errorReply(503, status == ProposeStatus::Committed ? "state-changed" : kernel::nameOf(status));
             wakeSubscribers();
             done();
         });
--- a/src/control/QuorumCore.cpp
+++ b/src/control/QuorumCore.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr std::uint64_t firstLogIndex = 1;
-
 bool makesConfiguration(EntryKind kind)
 {
     return kind == EntryKind::Bootstrap || kind == EntryKind::Admit || kind == EntryKind::Settled;
@@ -368,7 +366,7 @@
     for (const std::uint32_t peer : m_peers) {
         const auto granted = m_granted.find(peer);
         const std::uint64_t disk = granted != m_granted.end() ? granted->second : 0;
-        m_progress[peer] = { disk, 0, lastIndex() + 1, m_now, false };
+        m_progress[peer] = { disk, 0, lastIndex() + 1, 0, m_now, false };
     }
     append({ m_vote.term, EntryKind::TermStart, 0, {}, {} });
     m_termStart = lastIndex();
@@ -442,6 +440,7 @@
     const auto first = m_log.begin() + (batch.index - m_snapshot.index);
     const auto count = std::min<std::size_t>(m_log.end() - first, m_timings.entriesInMessage);
     batch.entries.assign(first, first + static_cast<std::ptrdiff_t>(count));
+    progress.toldCommit = m_commit;
     progress.waiting = true;
     send(std::move(batch));
 }
@@ -530,7 +529,7 @@
         return;
     Progress& progress = m_progress[answer.from];
     if (progress.disk != answer.disk)
-        progress = { answer.disk, 0, progress.next, 0, false }; // another disk holds nothing that was promised
+        progress = { answer.disk, 0, progress.next, 0, 0, false }; // another disk holds nothing that was promised
     progress.heardMillis = std::max(progress.heardMillis, answer.echo);
     progress.waiting = false;
     if (!answer.granted) {
@@ -547,7 +546,8 @@
     progress.next = progress.match + 1;
     advanceCommit();
     admitReturned(answer.from);
-    if (progress.next <= lastIndex())
+    const bool knowsCommit = progress.toldCommit >= std::min(m_commit, progress.match);
+    if (!progress.waiting && (progress.next <= lastIndex() || !knowsCommit))
         replicate(answer.from);
     if (answer.from == m_handOverTo)
         continueHandOver();
--- a/src/control/QuorumCore.h
+++ b/src/control/QuorumCore.h
@@ -95,6 +95,7 @@
         std::uint64_t disk = 0;
         std::uint64_t match = 0;
         std::uint64_t next = 1;
+        std::uint64_t toldCommit = 0;
         std::uint64_t heardMillis = 0; ///< When the newest answered message was sent.
         bool waiting = false;
     };
--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -28,6 +28,7 @@
 std::vector<std::uint32_t> idsOf(const std::vector<settings::QuorumPeerSettings>& peers)
 {
     std::vector<std::uint32_t> ids;
+    ids.reserve(peers.size());
     for (const auto& peer : peers)
         ids.push_back(peer.id);
     return ids;
