--- a/bench/RecoveryScenario.cpp
+++ b/bench/RecoveryScenario.cpp
@@ -37,7 +37,8 @@
     const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_storage socket {};
     socklen_t length = net::Address::parseHost("127.0.0.1", 0)->toSocket(socket);
-    ::bind(probe, reinterpret_cast<const sockaddr*>(&socket), length);
+    if (::bind(probe, reinterpret_cast<const sockaddr*>(&socket), length) != 0)
+        throw std::runtime_error("no free port");
     length = sizeof socket;
     ::getsockname(probe, reinterpret_cast<sockaddr*>(&socket), &length);
     ::close(probe);
