--- /dev/null
+++ b/tests/control/JournalReportTest.cpp
@@ -0,0 +1,65 @@
+#include "control/JournalReport.h"
+#include "control/Journal.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+
+using namespace yuccahook::control;
+
+TEST_CASE("A journal on real files")
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "yuccahook-journal-XXXXXX").string();
+    REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+    const std::string folder = pattern;
+    const std::string file = folder + "/journal";
+    FolderFiles files(folder);
+    REQUIRE(files.lock() == FileStatus::Done);
+    Journal journal(files);
+    REQUIRE(journal.open(5));
+    JournalRecord record;
+    record.firstIndex = 1;
+    record.entries = { { 1, EntryKind::TermStart, 0, {}, {} } };
+    REQUIRE(journal.write(record));
+    REQUIRE(std::filesystem::file_size(file) == journal.bytes());
+
+    SUBCASE("belongs to one process")
+    {
+        FolderFiles other(folder);
+        CHECK(other.lock() == FileStatus::InUse);
+    }
+
+    SUBCASE("is read again")
+    {
+        const auto state = Journal(files).open(6);
+        REQUIRE(state);
+        CHECK(state->disk == 5);
+        CHECK(state->entries == record.entries);
+    }
+
+    SUBCASE("is reported with its records")
+    {
+        const auto report = reportOnJournal(folder, true);
+        CHECK(report.good);
+        CHECK(report.body["disk"] == 5);
+        CHECK(report.body["records"][1]["entries"][0]["kind"] == "term-start");
+    }
+
+    SUBCASE("is reported damaged, with the offset, and left as it is")
+    {
+        std::fstream(file, std::ios::in | std::ios::out | std::ios::binary).seekp(20).put('x');
+        const auto report = reportOnJournal(folder, false);
+        CHECK_FALSE(report.good);
+        CHECK(report.body["fault"]["error"] == "damaged");
+        CHECK(report.body["fault"]["offset"] == 8);
+        CHECK(std::filesystem::file_size(file) == journal.bytes());
+    }
+
+    SUBCASE("that is missing is said so")
+    {
+        CHECK(reportOnJournal(folder + "/none", false).body["fault"]["file"] == "missing");
+    }
+
+    std::filesystem::remove_all(folder);
+}
