Leave a silent control instance after 3 s

Cause: a subscriber waited 8 s for an answer, above the 5 s for which a control instance holds the call. One attached to a paused control instance had a note in force up to 7.0 s later, above the 5 s that are promised.

Change: a call is held for 2 s and waited for 3 s.

--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t queueBound = 1024;
 constexpr auto connectTimeout = 1 * kj::SECONDS;
 constexpr auto retryDelay = 200 * kj::MILLISECONDS;
-constexpr auto changesTimeout = 8 * kj::SECONDS; // above the time a control instance holds the call
+constexpr auto changesTimeout = 3 * kj::SECONDS; // above the time a control instance holds the call
 constexpr auto announceTimeout = 2 * kj::SECONDS;
 constexpr auto announceInterval = 2 * kj::SECONDS;
 constexpr auto announceRetry = 200 * kj::MILLISECONDS;
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::size_t queueBound = 4096;
 constexpr auto leaseCheckInterval = 500 * kj::MILLISECONDS;
-constexpr auto holdChanges = 5 * kj::SECONDS;
+constexpr auto holdChanges = 2 * kj::SECONDS;
 constexpr auto subscriberForgotten = std::chrono::seconds(60);
 constexpr auto handOverTimeout = std::chrono::seconds(2);
 constexpr auto operatorTimeout = std::chrono::seconds(10);
