--- a/tools/fault_checks.py
+++ b/tools/fault_checks.py
@@ -62,6 +62,10 @@
             for line in read_lines(path):
                 line["service"] = service
                 (self.flows if line.get("event") == "flow" else self.attempts).append(line)
+        self.answers = defaultdict(Counter)  # by connection: how often each backend server answered
+        for attempt in self.attempts:
+            if attempt["outcome"] == "answered":
+                self.answers[(attempt["from"], attempt["connectionBegan"])][attempt["backend"]] += 1
         self.began = {(a["key"], a["attempt"]): a["began"] for a in self.attempts}
         self.work = defaultdict(list)  # by backend server
         for service in services.values():
@@ -89,8 +93,11 @@
         return self.hosts.get(joined[index - 1][1]) if index else None
 
     def backends_of(self, attempt):
-        """The backend servers that the attempt's flow is known to have met."""
-        met = {attempt["backend"]} if attempt["backend"] else set()
+        """The backend servers that the attempt's flow has met: the one that gave most answers on the connection, as
+        the agent that holds the flow may offer a request to a peer, and those that ran the attempt."""
+        counts = self.answers[(attempt["from"], attempt["connectionBegan"])]
+        most = max(counts.values(), default=0)
+        met = {backend for backend, count in counts.items() if count == most}
         return met | {backend for _, backend in self.runs_of(attempt)}
 
     def runs_of(self, attempt):
