--- a/src/net/StreamRelay.cpp
+++ b/src/net/StreamRelay.cpp
@@ -90,9 +90,9 @@
         m_windowOpen = kj::mv(paf.fulfiller);
         return paf.promise.then([this] { return readLocal(); });
     }
-    std::vector<kj::byte> bytes(segmentBytes);
+    std::vector<kj::byte> bytes(m_readBytes);
     kj::byte* buffer = bytes.data();
-    return m_local->stream->tryRead(buffer, 1, segmentBytes)
+    return m_local->stream->tryRead(buffer, 1, m_readBytes)
         .then([this, bytes = kj::mv(bytes)](std::size_t count) mutable -> kj::Promise<void> {
             if (m_finished)
                 return kj::READY_NOW;
@@ -101,6 +101,7 @@
                 sendPending();
                 return kj::READY_NOW;
             }
+            m_readBytes = count == bytes.size() ? std::min(m_readBytes * 2, segmentBytes) : idleReadBytes;
             bytes.resize(count);
             bytes.shrink_to_fit();
             m_unacknowledged.push_back({ m_read, kj::mv(bytes) });
--- a/src/net/StreamRelay.h
+++ b/src/net/StreamRelay.h
@@ -19,6 +19,9 @@
     static constexpr std::uint64_t windowBytes = 256 << 10;
     static constexpr std::size_t segmentBytes = 32 << 10;
 
+    /// What an idle stream keeps ready to read into; it grows to `segmentBytes` while reads fill it.
+    static constexpr std::size_t idleReadBytes = 1 << 10;
+
     explicit StreamRelay(kj::Own<kj::AsyncIoStream> local);
     ~StreamRelay() noexcept(false) override;
 
@@ -93,6 +96,7 @@
     std::deque<Segment> m_unacknowledged;
     std::uint64_t m_acknowledged = 0;
     std::uint64_t m_read = 0; // bytes read from the local stream
+    std::size_t m_readBytes = idleReadBytes; // size of the next read
     std::uint64_t m_nextToSend = 0; // offset
     bool m_readEnd = false;
     bool m_endWithLocal = false;
--- a/src/roles/NoteCommand.cpp
+++ b/src/roles/NoteCommand.cpp
@@ -61,7 +61,7 @@
 {
     const int attempts = attemptsPerInstance * static_cast<int>(addresses.size());
     for (int attempt = 0; attempt < attempts; ++attempt) {
-        const auto answer = callOnce(addresses[attempt % addresses.size()], request);
+        auto answer = callOnce(addresses[attempt % addresses.size()], request);
         if (answer && answer->status != httpUnavailable && answer->status != httpTimeout)
             return answer;
         std::this_thread::sleep_for(retryDelay);
