Let open flows of a withdrawn service and idle connections go on

Cause: a balancer dropped the address of a withdrawn datagram service at once, which broke its open flows, and the HTTP server ended a connection 5 s after an answer, its library's default.

Change: the address of a withdrawn datagram service stays until withdrawSeconds have passed or another service takes it; streams end at the agent after that period; connections may be idle between requests for 300 s.

--- a/src/request/HttpFront.cpp
+++ b/src/request/HttpFront.cpp
@@ -45,9 +45,15 @@
 
 bool isTimeout(const kj::Exception& exception) { return exception.getType() == kj::Exception::Type::OVERLOADED; }
 
+/// A connection between two requests is an established flow: it stays open through silent trunks and slow polling.
+constexpr auto keepAliveTimeout = 300 * kj::SECONDS;
+constexpr auto headerTimeout = 60 * kj::SECONDS;
+
 kj::HttpServerSettings serverSettings(kj::HttpServerErrorHandler& errors, kj::HttpServerCallbacks& callbacks)
 {
     kj::HttpServerSettings settings;
+    settings.headerTimeout = headerTimeout;
+    settings.pipelineTimeout = keepAliveTimeout;
     settings.errorHandler = errors;
     settings.callbacks = callbacks;
     return settings;
--- a/src/roles/AgentStreams.cpp
+++ b/src/roles/AgentStreams.cpp
@@ -195,12 +195,29 @@
     m_onChange();
 }
 
+// Whether this agent's service was withdrawn longer ago than its open flows may last.
+bool AgentStreams::withdrawalOver()
+{
+    const auto* self = m_membership ? m_membership->member(m_member) : nullptr;
+    const auto* service = self ? m_membership->service(self->service) : nullptr;
+    if (!service || !service->withdrawn) {
+        m_withdrawnSince.reset();
+        return false;
+    }
+    if (!m_withdrawnSince)
+        m_withdrawnSince = now();
+    return now() - *m_withdrawnSince >= std::chrono::seconds(service->withdrawSeconds);
+}
+
 // A balancer that vanished behind a connection that stays open is found by asking it for a sign of life.
 kj::Promise<void> AgentStreams::probeIdle()
 {
     return m_loop.timer().afterDelay(probeInterval).then([this] {
+        const bool over = withdrawalOver();
         for (auto& [id, stream] : m_streams) {
-            if (stream.relay->carried() == stream.carriedAtProbe)
+            if (over)
+                stream.relay->reset(RefusalReason::Withdrawn);
+            else if (stream.relay->carried() == stream.carriedAtProbe)
                 stream.relay->probe(m_loop.timer(), probeTimeout);
             stream.carriedAtProbe = stream.relay->carried();
         }
--- a/src/roles/AgentStreams.h
+++ b/src/roles/AgentStreams.h
@@ -55,6 +55,7 @@
     void close(std::uint64_t id);
     kj::Promise<void> abandonUnlessResumed(std::uint64_t id);
     kj::Promise<void> probeIdle();
+    bool withdrawalOver();
 
     net::Loop& m_loop;
     observe::Counters& m_counters;
@@ -63,6 +64,7 @@
     flow::MembershipPointer m_membership;
     std::uint32_t m_member = 0;
     std::optional<net::Address> m_backend;
+    std::optional<flow::Time> m_withdrawnSince;
     std::map<std::uint64_t, Stream> m_streams; // by stream id
     std::function<void()> m_onChange = [] {};
 };
--- a/src/roles/BalancerTraffic.cpp
+++ b/src/roles/BalancerTraffic.cpp
@@ -193,10 +193,13 @@
     m_map = std::make_unique<flow::BucketMap>(std::move(membership), m_map.get());
     for (const auto& service : m_map->membership().services) {
         const auto found = m_entrances.find(service.id);
-        const bool moved = found != m_entrances.end() && found->second->address != entranceAddress(service);
-        if (moved || (service.withdrawn && found != m_entrances.end()))
+        if (service.withdrawn) {
+            withdrawEntrance(service);
+            continue;
+        }
+        if (found != m_entrances.end() && found->second->address != entranceAddress(service))
             m_entrances.erase(found);
-        if (!m_entrances.contains(service.id) && !service.withdrawn && !m_draining)
+        if (!m_entrances.contains(service.id) && !m_draining)
             openEntrance(service);
     }
     m_pool.keepOnly(m_map->membership());
@@ -222,8 +225,31 @@
     return *net::Address::parseHost(m_settings.listenHost, service.address.port);
 }
 
+// Streams live on without what accepted them; datagrams of open flows still arrive at the service's address.
+void BalancerTraffic::withdrawEntrance(const flow::ServiceSpec& service)
+{
+    const auto found = m_entrances.find(service.id);
+    if (found == m_entrances.end() || found->second->closing)
+        return;
+    if (!found->second->datagrams) {
+        m_entrances.erase(found);
+        return;
+    }
+    found->second->closing = true;
+    const auto period = static_cast<std::int64_t>(service.withdrawSeconds) * kj::SECONDS;
+    m_loop.spawn(m_loop.timer().afterDelay(period).then([this, id = service.id] { m_entrances.erase(id); }));
+}
+
+// Another service may take the address of a withdrawn one before that one's period is over.
+void BalancerTraffic::releaseAddress(const net::Address& address)
+{
+    std::erase_if(m_entrances,
+        [&address](const auto& entry) { return entry.second->closing && entry.second->address == address; });
+}
+
 void BalancerTraffic::openEntrance(const flow::ServiceSpec& service)
 {
+    releaseAddress(entranceAddress(service));
     auto entrance = std::make_unique<Entrance>();
     entrance->address = entranceAddress(service);
     const auto failure = kj::runCatchingExceptions([&] {
--- a/src/roles/BalancerTraffic.h
+++ b/src/roles/BalancerTraffic.h
@@ -44,10 +44,13 @@
         kj::Own<kj::UnixEventPort::FdObserver> observer;
         kj::Own<kj::ConnectionReceiver> streams;
         kj::Promise<void> task = nullptr;
+        bool closing = false; ///< Of a withdrawn service; only open flows still use it.
     };
 
     net::Address entranceAddress(const flow::ServiceSpec& service) const;
     void openEntrance(const flow::ServiceSpec& service);
+    void withdrawEntrance(const flow::ServiceSpec& service);
+    void releaseAddress(const net::Address& address);
     kj::Promise<void> takeCallers(std::uint32_t service, Entrance& entrance);
     kj::Promise<void> takeTrunk();
     kj::Promise<void> acceptStreams(std::uint32_t service, Entrance& entrance);
