--- a/bench/RecoveryScenario.cpp
+++ b/bench/RecoveryScenario.cpp
@@ -100,7 +100,7 @@
 private:
     struct Parts {
         Parts(const settings::ControlSettings& settings, const net::Address& address)
-            : operatorServer(address, counters)
+            : operatorServer({ address }, counters)
             , node(settings, operatorServer, counters)
         {
         }
--- a/schema/common.capnp
+++ b/schema/common.capnp
@@ -34,3 +34,18 @@
   connections @8 :UInt32;
   state @9 :UInt8;
 }
+
+struct RouteTarget {
+  service @0 :Text;
+  weight @1 :UInt32;
+}
+
+struct Route {
+  address @0 :Endpoint;   # where callers send the packets of its flows
+  name @1 :Text;
+  targets @2 :List(RouteTarget);
+  latencyGoalMillis @3 :UInt32;
+  timeoutMillis @4 :UInt32;
+  priority @5 :UInt32;
+  idempotent @6 :Bool;
+}
--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -25,11 +25,17 @@
   members @4 :List(Common.Member);
   removedMembers @5 :List(UInt32);
   cluster @6 :UInt64;      # identifies the journal; a view of another cluster is refused
+  routes @7 :List(Common.Route);
+  removedRoutes @8 :List(Common.Endpoint);
+  routeVersion @9 :UInt64; # of the route table in force; 0 when none is
+  flowIdleMillis @10 :UInt64;
+  controls @11 :List(Common.Endpoint); # RPC addresses of the control instances that vote
 }
 
 interface Control {
-  announce @0 (announcement :Announcement, forwarded :Bool) -> (status :UInt8, member :UInt32, leaseMillis :UInt32);
+  announce @0 (announcement :Announcement, forwarded :Bool) -> (status :UInt8, member :UInt32, leaseMillis :UInt32, incarnation :UInt64);
   # Joins, renews the lease or reports a drain. status is control::AnnounceStatus. A follower forwards it once.
+  # incarnation is the one known of the agent.
 
   changes @1 (subscriber :Text, after :UInt64, services :List(Text), allServices :Bool) -> (status :UInt8, view :View);
   # Held until the state is newer than `after`; `after` is also what is in force at the subscriber.
--- a/schema/journal.capnp
+++ b/schema/journal.capnp
@@ -15,9 +15,19 @@
   union {
     note @0 :Text;          # the release note's JSON
     members @1 :UpdateMembers;
+    routes @2 :RouteTable;
+    barrier @3 :Void;       # changes nothing; its place in the log orders a read
   }
 }
 
+struct RouteTable {
+  version @0 :UInt64;
+  routes @1 :List(Common.Route);
+  services @2 :List(Text);
+  flowIdleMillis @3 :UInt64;
+  document @4 :Text;        # as the operator sent it
+}
+
 struct AcceptedNote {
   number @0 :UInt64;
   content @1 :Text;
@@ -30,4 +40,5 @@
   view @0 :Control.View;
   notes @1 :List(AcceptedNote);
   lastId @2 :UInt32;
+  routeDocument @3 :Text;
 }
--- a/src/control/ClusterState.cpp
+++ b/src/control/ClusterState.cpp
@@ -22,6 +22,14 @@
 {
     total.revision = next.revision;
     total.services.insert(total.services.end(), next.services.begin(), next.services.end());
+    total.routeVersion = next.routeVersion;
+    total.flowIdleMillis = next.flowIdleMillis;
+    for (const auto& route : next.routes)
+        std::erase(total.removedRoutes, route.address);
+    for (const auto& address : next.removedRoutes)
+        std::erase_if(total.routes, [&address](const flow::PacketRoute& route) { return route.address == address; });
+    total.routes.insert(total.routes.end(), next.routes.begin(), next.routes.end());
+    total.removedRoutes.insert(total.removedRoutes.end(), next.removedRoutes.begin(), next.removedRoutes.end());
     total.members.insert(total.members.end(), next.members.begin(), next.members.end());
     total.removedServices.insert(total.removedServices.end(), next.removedServices.begin(), next.removedServices.end());
     total.removedMembers.insert(total.removedMembers.end(), next.removedMembers.begin(), next.removedMembers.end());
@@ -35,6 +43,7 @@
     : m_membership(std::move(image.membership))
     , m_notes(std::move(image.notes))
     , m_lastId(image.lastId)
+    , m_routeDocument(std::move(image.routeDocument))
 {
 }
 
@@ -42,7 +51,10 @@
 {
     if (const auto* submit = std::get_if<SubmitNote>(&command))
         return applyNote(*submit);
-    applyMembers(std::get<UpdateMembers>(command));
+    if (const auto* members = std::get_if<UpdateMembers>(&command))
+        applyMembers(*members);
+    if (const auto* publish = std::get_if<PublishRoutes>(&command))
+        applyRoutes(publish->table);
     return std::nullopt;
 }
 
@@ -180,10 +192,46 @@
         publish(std::move(delta));
 }
 
+void ClusterState::applyRoutes(const flow::RouteTable& table)
+{
+    if (table.version <= m_membership.routeVersion)
+        return;
+    flow::MembershipDelta delta;
+    delta.routeVersion = table.version;
+    delta.flowIdleMillis = table.flowIdleMillis;
+    for (const auto& route : table.routes) {
+        const auto* existing = m_membership.route(route.address);
+        if (!existing || *existing != route)
+            delta.routes.push_back(route);
+    }
+    for (const auto& existing : m_membership.routes) {
+        const bool stays = std::any_of(table.routes.begin(), table.routes.end(),
+            [&existing](const flow::PacketRoute& route) { return route.address == existing.address; });
+        if (!stays)
+            delta.removedRoutes.push_back(existing.address);
+    }
+    // A service that no route names stays known, so that its open flows keep their agents.
+    for (const auto& name : table.services) {
+        if (m_membership.serviceNamed(name))
+            continue;
+        flow::ServiceSpec service;
+        service.id = ++m_lastId;
+        service.name = name;
+        service.protocol = flow::Protocol::Packet;
+        delta.services.push_back(std::move(service));
+    }
+    m_routeDocument = table.document;
+    publish(std::move(delta));
+}
+
 void ClusterState::publish(flow::MembershipDelta delta)
 {
     delta.cluster = m_membership.cluster;
     delta.revision = m_membership.revision + 1;
+    if (delta.routeVersion == 0) {
+        delta.routeVersion = m_membership.routeVersion;
+        delta.flowIdleMillis = m_membership.flowIdleMillis;
+    }
     m_membership = *flow::applied(m_membership, delta);
     m_recent.push_back(std::move(delta));
     if (m_recent.size() > keptDeltas)
@@ -194,8 +242,8 @@
 {
     const std::uint64_t behind = m_membership.revision - std::min(revision, m_membership.revision);
     if (behind > m_recent.size() || revision == 0) {
-        return { m_membership.cluster, m_membership.revision, true, m_membership.services, {}, m_membership.members,
-            {} };
+        return { m_membership.cluster, m_membership.revision, true, m_membership.services, {}, m_membership.members, {},
+            m_membership.routeVersion, m_membership.flowIdleMillis, m_membership.routes, {}, {} };
     }
     flow::MembershipDelta total;
     total.cluster = m_membership.cluster;
--- a/src/control/ClusterState.h
+++ b/src/control/ClusterState.h
@@ -38,6 +38,7 @@
     flow::Membership membership;
     std::map<std::uint64_t, NoteRecord> notes;
     std::uint32_t lastId = 0;
+    std::string routeDocument;
 };
 
 /// The replicated state: applies committed commands in order, alike on every control instance.
@@ -46,11 +47,14 @@
     explicit ClusterState(std::uint64_t cluster);
     explicit ClusterState(ClusterImage image);
 
-    ClusterImage image() const { return { m_membership, m_notes, m_lastId }; }
+    ClusterImage image() const { return { m_membership, m_notes, m_lastId, m_routeDocument }; }
 
     const flow::Membership& membership() const { return m_membership; }
     const std::map<std::uint64_t, NoteRecord>& notes() const { return m_notes; }
 
+    /// The route table in force as its operator sent it; empty when there is none.
+    const std::string& routeDocument() const { return m_routeDocument; }
+
     /// Applies one command and returns the note's answer when it was one.
     std::optional<NoteOutcome> apply(const Command& command);
 
@@ -63,6 +67,7 @@
 private:
     NoteOutcome applyNote(const SubmitNote& submit);
     void applyMembers(const UpdateMembers& update);
+    void applyRoutes(const flow::RouteTable& table);
     NoteOutcome judge(const Note& note, flow::MembershipDelta& delta) const;
     void publish(flow::MembershipDelta delta);
 
@@ -70,6 +75,7 @@
     std::map<std::uint64_t, NoteRecord> m_notes;
     std::deque<flow::MembershipDelta> m_recent; // one for each revision, newest last
     std::uint32_t m_lastId = 0; // of services and members
+    std::string m_routeDocument;
 };
 
 } // namespace yuccahook::control
--- a/src/control/Command.cpp
+++ b/src/control/Command.cpp
@@ -44,6 +44,32 @@
     writeIds(members.initRemoved(update.removed.size()), update.removed);
 }
 
+void write(schema::Command::Builder builder, const PublishRoutes& publish)
+{
+    auto table = builder.initRoutes();
+    table.setVersion(publish.table.version);
+    table.setFlowIdleMillis(publish.table.flowIdleMillis);
+    table.setDocument(publish.table.document);
+    writeRoutes(table.initRoutes(publish.table.routes.size()), publish.table.routes);
+    auto services = table.initServices(publish.table.services.size());
+    for (std::size_t index = 0; index < publish.table.services.size(); ++index)
+        services.set(index, publish.table.services[index]);
+}
+
+void write(schema::Command::Builder builder, const Barrier&) { builder.setBarrier(); }
+
+PublishRoutes readPublish(schema::RouteTable::Reader reader)
+{
+    PublishRoutes publish;
+    publish.table.version = reader.getVersion();
+    publish.table.flowIdleMillis = reader.getFlowIdleMillis();
+    publish.table.document = reader.getDocument();
+    publish.table.routes = readRoutes(reader.getRoutes());
+    for (const auto name : reader.getServices())
+        publish.table.services.emplace_back(name.cStr());
+    return publish;
+}
+
 UpdateMembers readUpdate(schema::UpdateMembers::Reader reader)
 {
     UpdateMembers update;
@@ -78,6 +104,10 @@
             command = SubmitNote { reader.getNote() };
         else if (reader.isMembers())
             command = readUpdate(reader.getMembers());
+        else if (reader.isRoutes())
+            command = readPublish(reader.getRoutes());
+        else if (reader.isBarrier())
+            command = Barrier {};
     });
     return failure == nullptr ? command : std::nullopt;
 }
--- a/src/control/Command.h
+++ b/src/control/Command.h
@@ -22,8 +22,16 @@
     std::vector<std::uint32_t> removed;
 };
 
+/// Asks for a route table to take effect; one that is not newer than the table in force changes nothing.
+struct PublishRoutes {
+    flow::RouteTable table;
+};
+
+/// Changes nothing; what was committed before it is known once it is applied.
+struct Barrier { };
+
 /// One entry of the journal, as the state machine sees it.
-using Command = std::variant<SubmitNote, UpdateMembers>;
+using Command = std::variant<SubmitNote, UpdateMembers, PublishRoutes, Barrier>;
 
 std::string encode(const Command& command);
 
--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -3,6 +3,7 @@
 #include "control/MembershipCodec.h"
 #include "observe/Log.h"
 
+#include <algorithm>
 #include <chrono>
 #include <kj/debug.h>
 #include <nlohmann/json.hpp>
@@ -12,10 +13,11 @@
 namespace {
 
 constexpr std::size_t queueBound = 1024;
-constexpr auto connectTimeout = 1 * kj::SECONDS;
-constexpr auto retryDelay = 200 * kj::MILLISECONDS;
-constexpr auto changesTimeout = 3 * kj::SECONDS; // above the time a control instance holds the call
-constexpr auto announceTimeout = 2 * kj::SECONDS;
+constexpr auto connectTimeout = 500 * kj::MILLISECONDS;
+constexpr auto retryDelay = 100 * kj::MILLISECONDS;
+constexpr auto changesTimeout = 1200 * kj::MILLISECONDS; // above the time a control instance holds the call
+constexpr auto announceTimeout = 1 * kj::SECONDS;
+constexpr std::size_t maximumAddresses = 32; // several times the control instances of a site
 constexpr auto announceInterval = 2 * kj::SECONDS;
 constexpr auto announceRetry = 200 * kj::MILLISECONDS;
 
@@ -43,10 +45,11 @@
 
 ControlClient::ControlClient(std::string subscriber, std::vector<net::Address> addresses)
     : m_subscriber(std::move(subscriber))
-    , m_addresses(std::move(addresses))
     , m_thread("control-client", queueBound)
     , m_membership(std::make_shared<flow::Membership>())
     , m_lastContactMillis(millisNow())
+    , m_addresses(std::move(addresses))
+    , m_nextAddress(std::hash<std::string> {}(m_subscriber)) // spreads subscribers over the instances
 {
 }
 
@@ -98,14 +101,31 @@
         listener(membership);
 }
 
+void ControlClient::addAddresses(const std::vector<net::Address>& addresses)
+{
+    m_thread.post([this, addresses](net::Loop&) { learnAddresses(addresses); });
+}
+
+void ControlClient::learnAddresses(const std::vector<net::Address>& addresses)
+{
+    for (const auto& address : addresses) {
+        if (std::find(m_addresses.begin(), m_addresses.end(), address) != m_addresses.end())
+            continue;
+        m_addresses.insert(m_addresses.begin(), address);
+        if (m_addresses.size() > maximumAddresses)
+            m_addresses.pop_back();
+    }
+}
+
 kj::Promise<void> ControlClient::follow()
 {
     return connect(m_nextAddress++)
         .then([this] { return followChanges(); })
         .catch_([this](kj::Exception&& exception) {
             m_connection = nullptr;
-            observe::log(
-                observe::Level::Debug, "control-contact-lost", { { "reason", exception.getDescription().cStr() } });
+            if (std::exchange(m_connected, false))
+                observe::log(
+                    observe::Level::Warn, "control-contact-lost", { { "reason", exception.getDescription().cStr() } });
         })
         .then([this] { return m_loop->timer().afterDelay(retryDelay); })
         .then([this] { return follow(); });
@@ -113,12 +133,13 @@
 
 kj::Promise<void> ControlClient::connect(std::size_t attempt)
 {
-    const net::Address& address = m_addresses[attempt % m_addresses.size()];
+    const net::Address address = m_addresses[attempt % m_addresses.size()];
     sockaddr_storage socket {};
     const socklen_t length = address.toSocket(socket);
     auto target = m_loop->network().getSockaddr(&socket, length);
     auto connecting = target->connect().attach(kj::mv(target));
-    return m_loop->timer().timeoutAfter(connectTimeout, kj::mv(connecting)).then([this](auto stream) {
+    return m_loop->timer().timeoutAfter(connectTimeout, kj::mv(connecting)).then([this, address](auto stream) {
+        m_connectedTo = address;
         m_connection = kj::heap<Connection>(kj::mv(stream));
     });
 }
@@ -147,6 +168,8 @@
         const auto status = static_cast<ChangesStatus>(response.getStatus());
         KJ_REQUIRE(status != ChangesStatus::NotCurrent, "control instance is not in contact with a quorum");
         m_lastContactMillis = millisNow();
+        if (!std::exchange(m_connected, true))
+            observe::log(observe::Level::Info, "control-contact", { { "address", m_connectedTo.text() } });
         if (status == ChangesStatus::Newer)
             take(readDelta(response.getView()), whole);
     });
@@ -166,6 +189,7 @@
             { { "revision", delta.revision }, { "have", before->revision } });
         KJ_FAIL_REQUIRE("membership refused");
     }
+    learnAddresses(delta.controls);
     m_needsWhole = m_needsWhole && !whole;
     publish(std::move(after));
 }
@@ -205,7 +229,11 @@
     return m_loop->timer()
         .timeoutAfter(announceTimeout, request.send())
         .then([this](auto response) {
-            m_joined = static_cast<AnnounceStatus>(response.getStatus()) == AnnounceStatus::Joined;
+            const auto status = static_cast<AnnounceStatus>(response.getStatus());
+            m_joined = status == AnnounceStatus::Joined;
+            // The clock may have stepped back since the incarnation before.
+            if (status == AnnounceStatus::OldIncarnation)
+                m_announcement->incarnation = response.getIncarnation() + 1;
         })
         .catch_([](kj::Exception&& exception) {
             observe::log(observe::Level::Debug, "announce-failed", { { "reason", exception.getDescription().cStr() } });
--- a/src/control/ControlClient.h
+++ b/src/control/ControlClient.h
@@ -40,6 +40,9 @@
     /// Follows only the announced service instead of all of them. Call before `start`.
     void followAnnouncedOnly() { m_services.emplace(); }
 
+    /// More RPC addresses of control instances; from any thread.
+    void addAddresses(const std::vector<net::Address>& addresses);
+
     /// What to announce from now on; from any thread.
     void announce(const Announcement& announcement);
 
@@ -53,6 +56,7 @@
     struct Connection;
 
     void publish(flow::MembershipPointer membership);
+    void learnAddresses(const std::vector<net::Address>& addresses);
     kj::Promise<void> follow();
     kj::Promise<void> connect(std::size_t attempt);
     kj::Promise<void> followChanges();
@@ -63,7 +67,6 @@
     kj::Promise<void> announceOnce();
 
     const std::string m_subscriber;
-    const std::vector<net::Address> m_addresses;
     std::vector<MembershipListener> m_listeners;
     net::LoopThread m_thread;
 
@@ -74,6 +77,9 @@
     // Control thread only.
     net::Loop* m_loop = nullptr;
     kj::Own<Connection> m_connection;
+    net::Address m_connectedTo;
+    bool m_connected = false;
+    std::vector<net::Address> m_addresses; // newest knowledge first
     std::size_t m_nextAddress = 0;
     std::optional<Announcement> m_announcement;
     bool m_joined = false;
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -17,7 +17,9 @@
 
 constexpr std::size_t queueBound = 4096;
 constexpr auto leaseCheckInterval = 500 * kj::MILLISECONDS;
-constexpr auto holdChanges = 2 * kj::SECONDS;
+constexpr auto holdChanges = 500 * kj::MILLISECONDS; // so that a subscriber soon leaves an instance that is cut off
+constexpr auto publishTimeout = std::chrono::milliseconds(900); // operators turn to another instance after a second
+constexpr auto publishRetryDelay = 50 * kj::MILLISECONDS;
 constexpr auto subscriberForgotten = std::chrono::seconds(60);
 constexpr auto handOverTimeout = std::chrono::seconds(2);
 constexpr auto operatorTimeout = std::chrono::seconds(10);
@@ -150,6 +152,7 @@
             m_node.proposeMembers();
             return AnnounceStatus::Pending;
         }
+        results.setIncarnation(known->incarnation);
         if (known->incarnation > announcement.getIncarnation())
             return AnnounceStatus::OldIncarnation;
         m_node.m_leases.renew(known->id, m_node.now());
@@ -164,6 +167,7 @@
     flow::MembershipDelta viewFor(ChangesParams::Reader params, std::uint64_t after) const
     {
         auto delta = m_node.m_state->changesAfter(after);
+        delta.controls = m_node.m_log->voters();
         if (params.getAllServices())
             return delta;
         std::set<std::string> names;
@@ -319,6 +323,75 @@
     return call->reply;
 }
 
+// Proposes again while no leader is known, as during an election.
+void ControlNode::proposeUntil(
+    std::shared_ptr<Command> command, kj::TimePoint until, std::function<void(ProposeStatus)> done)
+{
+    m_log->propose(*command, [this, command, until, done = std::move(done)](ProposeStatus status) {
+        const bool mayPass = status == ProposeStatus::NotLeader || status == ProposeStatus::NoQuorum;
+        if (!mayPass || m_loop->timer().now() >= until) {
+            done(status);
+            return;
+        }
+        m_loop->spawn(m_loop->timer().afterDelay(publishRetryDelay).then([this, command, until, done] {
+            proposeUntil(command, until, done);
+        }));
+    });
+}
+
+ProposeStatus ControlNode::proposeAndWait(Command command, const std::function<void()>& whenCommitted)
+{
+    auto result = std::make_shared<std::promise<ProposeStatus>>();
+    auto finished = result->get_future();
+    const auto shared = std::make_shared<Command>(std::move(command));
+    const bool queued = m_thread.post([this, shared, result, whenCommitted](net::Loop& loop) {
+        const auto until = loop.timer().now() + std::chrono::milliseconds(publishTimeout).count() * kj::MILLISECONDS;
+        proposeUntil(shared, until, [this, result, whenCommitted](ProposeStatus status) {
+            if (status == ProposeStatus::Committed) {
+                whenCommitted();
+                wakeSubscribers();
+            }
+            result->set_value(status);
+        });
+    });
+    if (!queued)
+        return ProposeStatus::Overloaded;
+    if (finished.wait_for(publishTimeout) != std::future_status::ready)
+        return ProposeStatus::NoQuorum;
+    return finished.get();
+}
+
+ProposeStatus ControlNode::publishRoutes(const flow::RouteTable& table)
+{
+    const auto status = proposeAndWait(PublishRoutes { table }, [] {});
+    m_counters.counter("route_tables_total", "status", kernel::nameOf(status)) += 1;
+    observe::log(status == ProposeStatus::Committed ? observe::Level::Info : observe::Level::Warn, "route-table",
+        { { "version", table.version }, { "routes", table.routes.size() }, { "status", kernel::nameOf(status) } });
+    return status;
+}
+
+ControlNode::RouteReading ControlNode::readRoutes()
+{
+    // The control thread may fill it after this call has given up.
+    const auto reading = std::make_shared<RouteReading>();
+    const auto status = proposeAndWait(Barrier {}, [this, reading] {
+        reading->version = m_state->membership().routeVersion;
+        reading->document = m_state->routeDocument();
+    });
+    m_counters.counter("route_reads_total", "status", kernel::nameOf(status)) += 1;
+    if (status != ProposeStatus::Committed)
+        return { status, 0, {} };
+    return { status, reading->version, reading->document };
+}
+
+void ControlNode::addContacts(const std::vector<net::Address>& addresses)
+{
+    m_thread.post([this, addresses](net::Loop&) {
+        if (m_log)
+            m_log->addContacts(addresses);
+    });
+}
+
 net::HttpReply ControlNode::tryNote(const net::HttpRequest& request)
 {
     return onControlThread([this, text = request.body](net::HttpReply& reply, std::function<void()> done) {
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -33,6 +33,21 @@
     bool start() override;
     void stop() override;
 
+    /// Makes a route table take effect and waits until that is durable; from any thread. A table that is not newer
+    /// than the one in force changes nothing and is `Committed` too.
+    ProposeStatus publishRoutes(const flow::RouteTable& table);
+
+    /// The route table in force now, as its operator sent it; from any thread.
+    struct RouteReading {
+        ProposeStatus status = ProposeStatus::NoQuorum;
+        std::uint64_t version = 0; ///< 0 when no table was published yet.
+        std::string document;
+    };
+    RouteReading readRoutes();
+
+    /// More control instances to ask for the quorum, by RPC address; from any thread.
+    void addContacts(const std::vector<net::Address>& addresses);
+
 private:
     class RpcServer;
     friend class RpcServer;
@@ -49,6 +64,8 @@
     LeaseTable::Time now() const;
     void endLeases();
     void proposeMembers();
+    ProposeStatus proposeAndWait(Command command, const std::function<void()>& whenCommitted);
+    void proposeUntil(std::shared_ptr<Command> command, kj::TimePoint until, std::function<void(ProposeStatus)> done);
     kj::Promise<void> waitForNewer(std::uint64_t revision);
     void wakeSubscribers();
     net::HttpReply onControlThread(std::function<void(net::HttpReply&, std::function<void()>)> work);
--- a/src/control/MembershipCodec.cpp
+++ b/src/control/MembershipCodec.cpp
@@ -60,6 +60,42 @@
     return member;
 }
 
+void writeRoutes(capnp::List<schema::Route>::Builder list, const std::vector<flow::PacketRoute>& routes)
+{
+    for (std::size_t index = 0; index < routes.size(); ++index) {
+        const auto& route = routes[index];
+        auto builder = list[index];
+        net::writeEndpoint(builder.initAddress(), route.address);
+        builder.setName(route.name);
+        auto targets = builder.initTargets(route.targets.size());
+        for (std::size_t target = 0; target < route.targets.size(); ++target) {
+            targets[target].setService(route.targets[target].service);
+            targets[target].setWeight(route.targets[target].weight);
+        }
+        builder.setLatencyGoalMillis(route.latencyGoalMillis);
+        builder.setTimeoutMillis(route.timeoutMillis);
+        builder.setPriority(route.priority);
+        builder.setIdempotent(route.idempotent);
+    }
+}
+
+std::vector<flow::PacketRoute> readRoutes(capnp::List<schema::Route>::Reader list)
+{
+    std::vector<flow::PacketRoute> routes;
+    for (const auto reader : list) {
+        auto& route = routes.emplace_back();
+        route.address = net::readEndpoint(reader.getAddress());
+        route.name = reader.getName();
+        for (const auto target : reader.getTargets())
+            route.targets.push_back({ target.getService(), target.getWeight() });
+        route.latencyGoalMillis = reader.getLatencyGoalMillis();
+        route.timeoutMillis = reader.getTimeoutMillis();
+        route.priority = reader.getPriority();
+        route.idempotent = reader.getIdempotent();
+    }
+    return routes;
+}
+
 void writeDelta(schema::View::Builder builder, const flow::MembershipDelta& delta)
 {
     builder.setCluster(delta.cluster);
@@ -77,6 +113,15 @@
     auto removedMembers = builder.initRemovedMembers(delta.removedMembers.size());
     for (std::size_t index = 0; index < delta.removedMembers.size(); ++index)
         removedMembers.set(index, delta.removedMembers[index]);
+    builder.setRouteVersion(delta.routeVersion);
+    builder.setFlowIdleMillis(delta.flowIdleMillis);
+    writeRoutes(builder.initRoutes(delta.routes.size()), delta.routes);
+    auto removedRoutes = builder.initRemovedRoutes(delta.removedRoutes.size());
+    for (std::size_t index = 0; index < delta.removedRoutes.size(); ++index)
+        net::writeEndpoint(removedRoutes[index], delta.removedRoutes[index]);
+    auto controls = builder.initControls(delta.controls.size());
+    for (std::size_t index = 0; index < delta.controls.size(); ++index)
+        net::writeEndpoint(controls[index], delta.controls[index]);
 }
 
 flow::MembershipDelta readDelta(schema::View::Reader reader)
@@ -93,6 +138,13 @@
         delta.removedServices.push_back(service);
     for (const std::uint32_t member : reader.getRemovedMembers())
         delta.removedMembers.push_back(member);
+    delta.routeVersion = reader.getRouteVersion();
+    delta.flowIdleMillis = reader.getFlowIdleMillis();
+    delta.routes = readRoutes(reader.getRoutes());
+    for (const auto address : reader.getRemovedRoutes())
+        delta.removedRoutes.push_back(net::readEndpoint(address));
+    for (const auto address : reader.getControls())
+        delta.controls.push_back(net::readEndpoint(address));
     return delta;
 }
 
--- a/src/control/QuorumCore.cpp
+++ b/src/control/QuorumCore.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+constexpr std::size_t maximumContacts = 32; // several times the most instances of a site
+constexpr std::size_t leastVoters = 3; // below it no loss is survived
+constexpr std::uint64_t learnerForgottenMillis = 10'000; // as a silent voter
+
 bool makesConfiguration(EntryKind kind)
 {
     return kind == EntryKind::Bootstrap || kind == EntryKind::Admit || kind == EntryKind::Settled;
@@ -26,10 +30,12 @@
     &QuorumCore::onTakeOver,
 };
 
-QuorumCore::QuorumCore(std::uint32_t id, std::vector<std::uint32_t> peers, JournalState state, Random random,
-    QuorumTimings timings, std::uint64_t nowMillis)
+QuorumCore::QuorumCore(std::uint32_t id, std::vector<std::uint32_t> contacts, bool founds, JournalState state,
+    Random random, QuorumTimings timings, std::uint64_t nowMillis)
     : m_id(id)
-    , m_peers(std::move(peers))
+    , m_founders(founds ? contacts : std::vector<std::uint32_t> {})
+    , m_contacts(contacts.begin(), contacts.end())
+    , m_founds(founds)
     , m_random(std::move(random))
     , m_timings(timings)
     , m_disk(state.disk)
@@ -53,8 +59,7 @@
 void QuorumCore::receive(const QuorumMessage& received, std::uint64_t nowMillis)
 {
     m_now = nowMillis;
-    const bool known = std::find(m_peers.begin(), m_peers.end(), received.from) != m_peers.end();
-    if (!known || received.to != m_id)
+    if (received.to != m_id || received.from == m_id)
         return;
     const bool otherCluster = m_cluster != 0 && received.cluster != 0 && received.cluster != m_cluster;
     if (otherCluster)
@@ -78,13 +83,16 @@
             m_handOverTo = 0;
         if (m_now >= m_heartbeatAtMillis) {
             m_heartbeatAtMillis = m_now + m_timings.heartbeatMillis;
+            forgetLearners();
+            reviewVoters();
             replicateToAll(true);
         }
         return;
     }
-    if (isEmpty() && m_now >= m_heartbeatAtMillis) {
+    if (m_now >= m_heartbeatAtMillis && lacksLeader()) {
         m_heartbeatAtMillis = m_now + m_timings.heartbeatMillis;
-        bootstrapIfAllAreEmpty();
+        sayHello();
+        foundIfAllAreEmpty();
     }
     if (m_now < m_electionAtMillis)
         return;
@@ -218,38 +226,87 @@
 
 void QuorumCore::broadcast(const QuorumMessage& pattern)
 {
-    for (const std::uint32_t peer : m_peers) {
+    for (const std::uint32_t peer : electorate()) {
         send(pattern);
         m_output.messages.back().to = peer;
     }
 }
 
-// Bootstrap: only when every instance says, to this very disk, that its log is empty.
+std::set<std::uint32_t> QuorumCore::electorate() const
+{
+    std::set<std::uint32_t> ids = m_contacts;
+    for (const auto* voters : { &configuration().voters, &configuration().joining }) {
+        for (const auto& [id, disk] : *voters)
+            ids.insert(id);
+    }
+    ids.erase(m_id);
+    return ids;
+}
 
-void QuorumCore::bootstrapIfAllAreEmpty()
+void QuorumCore::addContacts(const std::vector<std::uint32_t>& contacts)
 {
-    const bool isLowest = std::all_of(m_peers.begin(), m_peers.end(), [this](auto peer) { return m_id < peer; });
-    if (!isLowest)
-        return;
-    if (m_granted.size() < m_peers.size()) {
-        QuorumMessage hello = message(MessageKind::Hello, 0);
-        hello.echo = m_disk;
-        broadcast(hello);
+    for (const std::uint32_t contact : contacts) {
+        if (contact != m_id && m_contacts.size() < maximumContacts)
+            m_contacts.insert(contact);
+    }
+}
+
+bool QuorumCore::lacksLeader() const
+{
+    return m_role != QuorumRole::Leader
+        && (m_leaderHeardMillis == 0 || m_now - m_leaderHeardMillis > 2 * m_timings.electionMillis);
+}
+
+// Looks for the quorum: a leader that hears it sends its log, anyone else names those who vote.
+void QuorumCore::sayHello()
+{
+    QuorumMessage hello = message(MessageKind::Hello, 0);
+    hello.echo = m_disk;
+    broadcast(hello);
+}
+
+// Only when every founder with a disk says, to this very disk, that its log is empty.
+void QuorumCore::foundIfAllAreEmpty()
+{
+    if (!m_founds || !isEmpty())
         return;
+    for (const std::uint32_t founder : m_founders) {
+        if (m_relays.contains(founder))
+            continue;
+        if (founder < m_id || !m_granted.contains(founder))
+            return; // the lowest founds
+    }
+    VoterMap voters;
+    for (const std::uint32_t founder : m_founders) {
+        if (m_granted.contains(founder))
+            voters[founder] = m_granted[founder];
     }
-    VoterMap voters = std::exchange(m_granted, {});
+    m_granted.clear();
     voters[m_id] = m_disk;
     enterTerm(m_vote.term + 1, 0);
     append({ m_vote.term, EntryKind::Bootstrap, m_random() | 1, std::move(voters), {} });
     m_electionAtMillis = m_now;
 }
 
-void QuorumCore::onHello(const QuorumMessage& hello) { reply(hello, MessageKind::HelloReply, isEmpty()); }
+void QuorumCore::onHello(const QuorumMessage& hello)
+{
+    noteLearner(hello);
+    reply(hello, MessageKind::HelloReply, isEmpty());
+    QuorumEntry known;
+    known.voters = configuration().voters;
+    m_output.messages.back().entries.push_back(std::move(known));
+}
 
 void QuorumCore::onHelloReply(const QuorumMessage& answer)
 {
+    for (const auto& entry : answer.entries) {
+        for (const auto& [id, disk] : entry.voters)
+            addContacts({ id });
+    }
     if (!isEmpty() || answer.echo != m_disk)
         return;
+    if (answer.disk == 0)
+        m_relays.insert(answer.from);
     if (answer.granted)
         m_granted[answer.from] = answer.disk;
     else
@@ -319,6 +376,7 @@
 
 void QuorumCore::onPreVote(const QuorumMessage& ask)
 {
+    noteLearner(ask);
     const bool hearsLeader
         = m_role == QuorumRole::Leader || (m_leader != 0 && m_now - m_leaderHeardMillis < m_timings.electionMillis);
     const bool granted = !hearsLeader && ask.term > m_vote.term && isUpToDate(ask);
@@ -363,7 +421,7 @@
     m_leader = m_id;
     m_handOverTo = 0;
     m_progress.clear();
-    for (const std::uint32_t peer : m_peers) {
+    for (const std::uint32_t peer : electorate()) {
         const auto granted = m_granted.find(peer);
         const std::uint64_t disk = granted != m_granted.end() ? granted->second : 0;
         m_progress[peer] = { disk, 0, lastIndex() + 1, 0, m_now, false };
@@ -423,6 +481,12 @@
         m_configurations[index] = { configuration().voters, entry.voters };
     else
         m_configurations[index] = { entry.voters, {} };
+    for (const auto* voters : { &configuration().voters, &configuration().joining }) {
+        for (const auto& [id, disk] : *voters) {
+            if (m_role == QuorumRole::Leader && id != m_id)
+                m_progress.try_emplace(id, Progress { disk, 0, lastIndex() + 1, 0, m_now, false });
+        }
+    }
 }
 
 void QuorumCore::replicate(std::uint32_t peer)
@@ -458,8 +522,8 @@
 // One message at a time to each peer; entries that come meanwhile go into the next. A heartbeat repeats a lost one.
 void QuorumCore::replicateToAll(bool evenWaiting)
 {
-    for (const std::uint32_t peer : m_peers) {
-        if (evenWaiting || !m_progress[peer].waiting)
+    for (const auto& [peer, progress] : m_progress) {
+        if (evenWaiting || !progress.waiting)
             replicate(peer);
     }
 }
@@ -527,7 +591,10 @@
 {
     if (m_role != QuorumRole::Leader || answer.term != m_vote.term)
         return;
-    Progress& progress = m_progress[answer.from];
+    const auto known = m_progress.find(answer.from);
+    if (known == m_progress.end())
+        return;
+    Progress& progress = known->second;
     if (progress.disk != answer.disk)
         progress = { answer.disk, 0, progress.next, 0, 0, false }; // another disk holds nothing that was promised
     progress.heardMillis = std::max(progress.heardMillis, answer.echo);
@@ -545,7 +612,7 @@
     progress.match = std::max(progress.match, answer.index);
     progress.next = progress.match + 1;
     advanceCommit();
-    admitReturned(answer.from);
+    reviewVoters();
     const bool knowsCommit = progress.toldCommit >= std::min(m_commit, progress.match);
     if (!progress.waiting && (progress.next <= lastIndex() || !knowsCommit))
         replicate(answer.from);
@@ -587,17 +654,69 @@
 
 void QuorumCore::commitTo(std::uint64_t index) { m_commit = std::max(m_commit, index); }
 
-// A voter that came back with another disk is admitted once it has all that was committed.
-void QuorumCore::admitReturned(std::uint32_t peer)
+// Who votes.
+
+// An instance that is no voter, or has another disk than it had, gets the log before it may vote.
+void QuorumCore::noteLearner(const QuorumMessage& heard)
+{
+    if (m_role != QuorumRole::Leader || heard.disk == 0)
+        return;
+    const auto [place, isNew]
+        = m_progress.try_emplace(heard.from, Progress { heard.disk, 0, lastIndex() + 1, 0, m_now, false });
+    if (isNew)
+        replicate(heard.from);
+}
+
+void QuorumCore::forgetLearners()
+{
+    std::erase_if(m_progress, [this](const auto& entry) {
+        const auto& [id, progress] = entry;
+        const bool votes = configuration().voters.contains(id) || configuration().joining.contains(id);
+        return !votes && m_now - progress.heardMillis > learnerForgottenMillis;
+    });
+}
+
+bool QuorumCore::isHeard(std::uint32_t peer, std::uint64_t limitMillis) const
+{
+    const auto found = m_progress.find(peer);
+    return peer == m_id || (found != m_progress.end() && m_now - found->second.heardMillis <= limitMillis);
+}
+
+// One change at a time, each a joint one: a returned instance takes its old place, a waiting one that of a silent
+// voter or a new place; a voter that stays silent leaves.
+void QuorumCore::reviewVoters()
 {
-    const Progress& progress = m_progress[peer];
-    const auto& current = configuration();
-    const bool isVoter = current.contains(peer, progress.disk);
-    if (isVoter || !isSettled() || m_commit < m_termStart || progress.match < m_commit
-        || !current.voters.contains(peer))
+    if (m_role != QuorumRole::Leader || !isSettled() || m_commit < m_termStart || m_handOverTo != 0)
+        return;
+    VoterMap voters = configuration().voters;
+    std::optional<std::uint32_t> silent;
+    for (const auto& [id, disk] : voters) {
+        if (!isHeard(id, m_timings.exchangeMillis))
+            silent = id;
+    }
+    for (const auto& [id, progress] : m_progress) {
+        const bool isReady = progress.disk != 0 && progress.match >= m_commit && progress.match > 0
+            && isHeard(id, m_timings.electionMillis) && !configuration().contains(id, progress.disk);
+        if (!isReady)
+            continue;
+        if (!voters.contains(id)) {
+            if (!silent && voters.size() >= m_timings.maximumVoters)
+                continue;
+            if (silent)
+                voters.erase(*silent);
+        }
+        voters[id] = progress.disk;
+        proposeVoters(std::move(voters));
         return;
-    VoterMap voters = current.voters;
-    voters[peer] = progress.disk;
+    }
+    if (silent && voters.size() > leastVoters && !isHeard(*silent, m_timings.removalMillis)) {
+        voters.erase(*silent);
+        proposeVoters(std::move(voters));
+    }
+}
+
+void QuorumCore::proposeVoters(VoterMap voters)
+{
     append({ m_vote.term, EntryKind::Admit, 0, std::move(voters), {} });
     replicateToAll(false);
 }
--- a/src/control/QuorumCore.h
+++ b/src/control/QuorumCore.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,9 +17,12 @@
 struct QuorumTimings {
     std::uint64_t heartbeatMillis = 100;
     std::uint64_t electionMillis = 500; ///< An election starts after one to two times this without a leader.
-    std::uint64_t contactMillis = 3000; ///< How old a follower's knowledge may be and still count as current.
+    std::uint64_t contactMillis = 1000; ///< How old a follower's knowledge may be and still count as current.
+    std::uint64_t exchangeMillis = 2000; ///< A voter silent for this long gives its place to a waiting instance.
+    std::uint64_t removalMillis = 10'000; ///< A voter silent for this long leaves, while more than three stay.
     std::size_t entriesInMessage = 256;
     std::size_t uncommittedBound = 4096; ///< Proposals above it are refused as overload.
+    std::size_t maximumVoters = 5; ///< Two may be lost at once.
     bool preVote = true;
 };
 
@@ -40,8 +44,9 @@
 public:
     using Random = std::function<std::uint64_t()>;
 
-    /// `peers` are the other instances; `state` is what the journal held.
-    QuorumCore(std::uint32_t id, std::vector<std::uint32_t> peers, JournalState state, Random random,
+    /// `contacts` are instances to ask for the quorum; `state` is what the journal held. An instance that founds
+    /// starts a cluster together with its contacts once all of them say that they are empty.
+    QuorumCore(std::uint32_t id, std::vector<std::uint32_t> contacts, bool founds, JournalState state, Random random,
         QuorumTimings timings, std::uint64_t nowMillis);
 
     void receive(const QuorumMessage& message, std::uint64_t nowMillis);
@@ -50,6 +55,9 @@
     /// The index that the command will have, when this instance leads and takes it.
     std::optional<std::uint64_t> propose(std::string command);
 
+    /// More instances to ask for the quorum.
+    void addContacts(const std::vector<std::uint32_t>& contacts);
+
     /// Gives the lead to the follower that is furthest; takes no proposals meanwhile.
     void handOver();
 
@@ -121,6 +129,14 @@
     void send(QuorumMessage message) { m_output.messages.push_back(std::move(message)); }
     void reply(const QuorumMessage& request, MessageKind kind, bool granted, std::uint64_t index = 0);
     void broadcast(const QuorumMessage& pattern);
+    std::set<std::uint32_t> electorate() const;
+    bool lacksLeader() const;
+    void sayHello();
+    void noteLearner(const QuorumMessage& message);
+    void forgetLearners();
+    void reviewVoters();
+    void proposeVoters(VoterMap voters);
+    bool isHeard(std::uint32_t peer, std::uint64_t limitMillis) const;
 
     void follow(std::uint64_t term, std::uint32_t leader);
     void enterTerm(std::uint64_t term, std::uint64_t votedFor);
@@ -128,7 +144,7 @@
     void startPreVote();
     void campaign();
     void becomeLeader();
-    void bootstrapIfAllAreEmpty();
+    void foundIfAllAreEmpty();
 
     void append(QuorumEntry entry);
     void replaceFrom(std::uint64_t index, const std::vector<QuorumEntry>& entries, std::size_t first);
@@ -139,12 +155,14 @@
     void sendSnapshot(std::uint32_t peer);
     void advanceCommit();
     void commitTo(std::uint64_t index);
-    void admitReturned(std::uint32_t peer);
     void continueHandOver();
     bool hasQuorumContact(std::uint64_t limitMillis) const;
 
     const std::uint32_t m_id;
-    const std::vector<std::uint32_t> m_peers;
+    const std::vector<std::uint32_t> m_founders; // the others, when this instance founds
+    std::set<std::uint32_t> m_contacts;
+    std::set<std::uint32_t> m_relays; // founders without a disk
+    const bool m_founds;
     const Random m_random;
     const QuorumTimings m_timings;
     const std::uint64_t m_disk;
--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr auto tickInterval = 20 * kj::MILLISECONDS;
-constexpr auto connectTimeout = 1 * kj::SECONDS;
-constexpr auto deliverTimeout = 2 * kj::SECONDS; // a connection that has gone silent is replaced
-constexpr auto reconnectDelay = 100 * kj::MILLISECONDS;
+constexpr auto connectTimeout = 500 * kj::MILLISECONDS; // one election timeout
+constexpr auto deliverTimeout = 800 * kj::MILLISECONDS; // a connection that has gone silent is replaced
+constexpr auto reopenDelay = 500 * kj::MILLISECONDS; // between attempts to use a disk that failed
 constexpr auto proposalTimeout = 5 * kj::SECONDS;
 constexpr auto handOverTimeout = 1 * kj::SECONDS;
 constexpr std::size_t messagesUnderWayBound = 128;
@@ -25,6 +25,9 @@
     return { reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size() };
 }
 
+// An instance is named by its IPv4 address; all of a site listen on the same port.
+std::uint32_t idOf(const net::Address& address) { return static_cast<std::uint32_t>(address.low); }
+
 std::vector<std::uint32_t> idsOf(const std::vector<settings::QuorumPeerSettings>& peers)
 {
     std::vector<std::uint32_t> ids;
@@ -61,6 +64,7 @@
     kj::Own<Connection> connection {};
     std::uint64_t connections = 0; // tells a failure of an earlier connection from one of this
     std::size_t underWay = 0;
+    bool connecting = false;
 };
 
 QuorumLog::QuorumLog(const settings::ControlSettings& settings, net::Loop& loop, ClusterState& state,
@@ -69,28 +73,90 @@
     , m_state(state)
     , m_counters(counters)
     , m_applied(std::move(applied))
+    , m_settings(settings)
     , m_files(settings.data)
     , m_tasks(*this)
 {
+    if (settings.data.empty())
+        return;
     const FileStatus locked = m_files.lock();
     KJ_REQUIRE(locked == FileStatus::Done, "the data folder can't be locked", settings.data.c_str(),
         std::string(kernel::nameOf(locked)).c_str());
+    for (const auto& other : settings.peers)
+        m_peers[other.id] = kj::heap<Peer>(Peer { other.address });
+    openReplica();
+    if (fault() && fault()->error != JournalError::File)
+        KJ_FAIL_REQUIRE("the journal can't be used", describe(*fault()).dump().c_str());
+    m_tasks.add(keepTicking());
+}
+
+void QuorumLog::openReplica()
+{
     QuorumReplica::Options options;
-    options.id = settings.id;
-    options.peers = idsOf(settings.peers);
+    options.id = m_settings.id;
+    options.contacts = idsOf(m_settings.peers);
+    options.founds = m_settings.founds;
     std::random_device device;
     auto random = [generator = std::mt19937_64(std::uint64_t { device() } << 32 | device())]() mutable {
         return std::uint64_t { generator() };
     };
-    for (const auto& peer : settings.peers)
-        m_peers[peer.id] = kj::heap<Peer>(Peer { peer.address });
     m_replica = kj::heap<QuorumReplica>(
         options, m_files, static_cast<QuorumHost&>(*this), QuorumCore::Random(random), nowMillis());
-    if (m_replica->fault())
-        KJ_FAIL_REQUIRE("the journal can't be used", describe(*m_replica->fault()).dump().c_str());
-    for (auto& [id, peer] : m_peers)
-        m_tasks.add(keepConnected(*peer));
-    m_tasks.add(keepTicking());
+}
+
+// Starts anew from the file, as a restarted process would: after a failed write nothing else is known to be durable.
+void QuorumLog::reopenAfterFault()
+{
+    const bool mayPass = fault() && fault()->error == JournalError::File;
+    if (!mayPass || m_loop.timer().now() < m_reopenAt)
+        return;
+    m_reopenAt = m_loop.timer().now() + reopenDelay;
+    giveUpWaiting();
+    m_state = ClusterState(0);
+    m_appliedIndex = 0;
+    openReplica();
+    if (!runs())
+        return;
+    m_faultReported = false;
+    m_counters.counter("quorum_failed") = 0;
+    observe::log(observe::Level::Info, "quorum-reopened", { { "index", m_replica->core()->lastIndex() } });
+}
+
+std::vector<net::Address> QuorumLog::voters() const
+{
+    std::vector<net::Address> addresses;
+    if (!runs())
+        return addresses;
+    for (const auto& [id, disk] : m_replica->core()->configuration().voters) {
+        const auto known = m_peers.find(id);
+        net::Address address = m_settings.listen;
+        if (known != m_peers.end())
+            address = known->second->address;
+        else if (id != m_settings.id)
+            address.low = (address.low & ~std::uint64_t { UINT32_MAX }) | id;
+        addresses.push_back(address);
+    }
+    return addresses;
+}
+
+void QuorumLog::addContacts(const std::vector<net::Address>& addresses)
+{
+    std::vector<std::uint32_t> ids;
+    for (const auto& address : addresses)
+        ids.push_back(idOf(address));
+    if (m_replica.get())
+        m_replica->addContacts(ids);
+}
+
+QuorumLog::Peer& QuorumLog::peer(std::uint32_t id)
+{
+    auto& found = m_peers[id];
+    if (found.get() == nullptr) {
+        net::Address address = m_settings.listen;
+        address.low = (address.low & ~std::uint64_t { UINT32_MAX }) | id;
+        found = kj::heap<Peer>(Peer { address });
+    }
+    return *found;
 }
 
 QuorumLog::~QuorumLog() noexcept = default;
@@ -100,16 +166,16 @@
     return static_cast<std::uint64_t>((m_loop.timer().now() - kj::origin<kj::TimePoint>()) / kj::MILLISECONDS);
 }
 
-bool QuorumLog::leads() const { return m_replica->runs() && m_replica->core()->leads(); }
+bool QuorumLog::leads() const { return runs() && m_replica->core()->leads(); }
 
-bool QuorumLog::current() const { return m_replica->runs() && m_replica->core()->isCurrent(); }
+bool QuorumLog::current() const { return runs() && m_replica->core()->isCurrent(); }
 
 // Proposals.
 
 void QuorumLog::propose(const Command& command, Done done)
 {
     std::string bytes = encode(command);
-    if (!m_replica->runs() || m_replica->core()->role() == QuorumRole::Leader) {
+    if (!runs() || m_replica->core()->role() == QuorumRole::Leader) {
         proposeHere(std::move(bytes), [done = std::move(done)](ProposeStatus status, std::uint64_t) { done(status); });
         return;
     }
@@ -134,7 +200,7 @@
 
 void QuorumLog::proposeHere(std::string command, Placed placed)
 {
-    if (!m_replica->runs()) {
+    if (!runs()) {
         placed(ProposeStatus::StorageFailed, 0);
         return;
     }
@@ -185,12 +251,12 @@
     for (auto* list : { &m_proposed, &m_forwarded }) {
         std::vector<Placed> late;
         for (auto place = list->begin(); place != list->end();) {
-            const bool ends = place->second.until <= now || !m_replica->runs();
+            const bool ends = place->second.until <= now || !runs();
             if (ends)
                 late.push_back(std::move(place->second.placed));
             place = ends ? list->erase(place) : std::next(place);
         }
-        const auto status = m_replica->runs() ? ProposeStatus::NoQuorum : ProposeStatus::StorageFailed;
+        const auto status = runs() ? ProposeStatus::NoQuorum : ProposeStatus::StorageFailed;
         for (const auto& placed : late)
             placed(status, 0);
     }
@@ -198,12 +264,13 @@
 
 void QuorumLog::reportFault()
 {
-    if (m_replica->runs() || std::exchange(m_faultReported, true))
+    if (runs() || !m_replica.get() || std::exchange(m_faultReported, true))
         return;
+    m_reopenAt = m_loop.timer().now() + reopenDelay;
     m_counters.counter("quorum_failed") = 1;
     nlohmann::json fields { { "error", "contradicts-leader" } };
-    if (m_replica->fault())
-        fields = describe(*m_replica->fault());
+    if (fault())
+        fields = describe(*fault());
     observe::log(observe::Level::Error, "quorum-failed", fields);
 }
 
@@ -252,13 +319,32 @@
         m_counters.counter("quorum_messages_refused_total", "reason", "malformed") += 1;
         return;
     }
+    if (!m_replica.get()) {
+        answerAsRelay(*message);
+        return;
+    }
     m_replica->receive(*message, nowMillis());
     finishApplied();
 }
 
+// Those who found a cluster must know that this instance has no disk.
+void QuorumLog::answerAsRelay(const QuorumMessage& message)
+{
+    if (message.kind != MessageKind::Hello)
+        return;
+    QuorumMessage answer;
+    answer.kind = MessageKind::HelloReply;
+    answer.from = m_settings.id;
+    answer.to = message.from;
+    answer.echo = message.echo;
+    send(answer);
+}
+
 void QuorumLog::send(const QuorumMessage& message)
 {
-    Peer& peer = *m_peers.at(message.to);
+    Peer& peer = this->peer(message.to);
+    if (peer.connection.get() == nullptr)
+        connect(peer);
     if (peer.connection.get() == nullptr || peer.underWay >= messagesUnderWayBound) {
         m_counters.counter("quorum_messages_dropped_total") += 1;
         return;
@@ -275,29 +361,29 @@
         }));
 }
 
-kj::Promise<void> QuorumLog::keepConnected(Peer& peer)
-{
-    auto ready = peer.connection.get() == nullptr ? connect(peer) : kj::Promise<void>(kj::READY_NOW);
-    return ready.catch_([](kj::Exception&&) {})
-        .then([this] { return m_loop.timer().afterDelay(reconnectDelay); })
-        .then([this, &peer] { return keepConnected(peer); });
-}
-
-kj::Promise<void> QuorumLog::connect(Peer& peer)
+// The message that found no connection is lost; those who need it send it again.
+void QuorumLog::connect(Peer& peer)
 {
+    if (std::exchange(peer.connecting, true))
+        return;
     sockaddr_storage socket {};
     const socklen_t length = peer.address.toSocket(socket);
     auto target = m_loop.network().getSockaddr(&socket, length);
     auto connecting = target->connect().attach(kj::mv(target));
-    return m_loop.timer().timeoutAfter(connectTimeout, kj::mv(connecting)).then([&peer](auto stream) {
-        peer.connection = kj::heap<Peer::Connection>(kj::mv(stream));
-        ++peer.connections;
-    });
+    m_tasks.add(m_loop.timer()
+                    .timeoutAfter(connectTimeout, kj::mv(connecting))
+                    .then(
+                        [&peer](auto stream) {
+                            peer.connecting = false;
+                            peer.connection = kj::heap<Peer::Connection>(kj::mv(stream));
+                            ++peer.connections;
+                        },
+                        [&peer](kj::Exception&&) { peer.connecting = false; }));
 }
 
 kj::Maybe<schema::Control::Client> QuorumLog::leader()
 {
-    const std::uint32_t id = m_replica->runs() ? m_replica->core()->leader() : 0;
+    const std::uint32_t id = runs() ? m_replica->core()->leader() : 0;
     const auto found = m_peers.find(id);
     if (found == m_peers.end() || found->second->connection.get() == nullptr)
         return nullptr;
@@ -316,6 +402,10 @@
     m_replica->tick(nowMillis());
     finishApplied();
     giveUpWaiting();
+    if (!runs()) {
+        reopenAfterFault();
+        return m_loop.timer().afterDelay(tickInterval).then([this] { return keepTicking(); });
+    }
     m_counters.counter("quorum_term") = m_replica->core()->term();
     m_counters.counter("quorum_commit_index") = m_replica->core()->commitIndex();
     m_counters.counter("quorum_leads") = leads() ? 1 : 0;
@@ -326,13 +416,17 @@
 
 void QuorumLog::handOver(std::function<void()> done)
 {
+    if (!runs()) {
+        done();
+        return;
+    }
     m_replica->handOver();
     m_tasks.add(waitForOtherLeader(std::move(done), m_loop.timer().now() + handOverTimeout));
 }
 
 kj::Promise<void> QuorumLog::waitForOtherLeader(std::function<void()> done, kj::TimePoint until)
 {
-    if (!m_replica->runs() || m_replica->core()->role() != QuorumRole::Leader || m_loop.timer().now() >= until) {
+    if (!runs() || m_replica->core()->role() != QuorumRole::Leader || m_loop.timer().now() >= until) {
         done();
         return kj::READY_NOW;
     }
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <kj/async.h>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace yuccahook::control {
@@ -33,6 +34,9 @@
     bool leads() const override;
     bool current() const override;
 
+    /// Whether this instance takes part; false for a relay, which has no disk, and while the journal can't be used.
+    bool runs() const { return m_replica.get() && m_replica->runs(); }
+
     /// A command that another instance sent on; refused when this one does not lead.
     void proposeHere(std::string command, Placed placed);
 
@@ -42,6 +46,12 @@
     /// The leader's interface, while this instance follows one and is connected to it.
     kj::Maybe<schema::Control::Client> leader();
 
+    /// RPC addresses of the instances that vote.
+    std::vector<net::Address> voters() const;
+
+    /// More instances to ask for the quorum, by RPC address.
+    void addContacts(const std::vector<net::Address>& addresses);
+
     /// Gives the lead away; `done` is called once another leads, or soon after when none takes it.
     void handOver(std::function<void()> done);
 
@@ -61,8 +71,15 @@
 
     std::uint64_t nowMillis() const;
     kj::Promise<void> keepTicking();
-    kj::Promise<void> keepConnected(Peer& peer);
-    kj::Promise<void> connect(Peer& peer);
+    std::optional<JournalFault> fault() const
+    {
+        return m_replica.get() ? m_replica->fault() : std::optional<JournalFault> {};
+    }
+    void openReplica();
+    void answerAsRelay(const QuorumMessage& message);
+    void reopenAfterFault();
+    Peer& peer(std::uint32_t id);
+    void connect(Peer& peer);
     kj::Promise<void> waitForOtherLeader(std::function<void()> done, kj::TimePoint until);
     void flushSoon();
     void finishApplied();
@@ -74,6 +91,7 @@
     ClusterState& m_state;
     observe::Counters& m_counters;
     const std::function<void()> m_applied;
+    const settings::ControlSettings m_settings;
     FolderFiles m_files;
     std::map<std::uint32_t, kj::Own<Peer>> m_peers;
     std::multimap<std::uint64_t, Waiting> m_proposed; // by index
@@ -82,6 +100,7 @@
     bool m_changed = false;
     bool m_flushing = false;
     bool m_faultReported = false;
+    kj::TimePoint m_reopenAt = kj::origin<kj::TimePoint>();
     kj::Own<QuorumReplica> m_replica;
     kj::TaskSet m_tasks; // last, so that it ends first
 };
--- a/src/control/QuorumReplica.cpp
+++ b/src/control/QuorumReplica.cpp
@@ -11,7 +11,8 @@
     auto state = m_journal.open(random() | 1);
     if (!state)
         return;
-    m_core.emplace(m_options.id, m_options.peers, std::move(*state), std::move(random), m_options.timings, nowMillis);
+    m_core.emplace(m_options.id, m_options.contacts, m_options.founds, std::move(*state), std::move(random),
+        m_options.timings, nowMillis);
     flush();
 }
 
@@ -39,6 +40,12 @@
     return std::pair { *index, m_core->term() };
 }
 
+void QuorumReplica::addContacts(const std::vector<std::uint32_t>& contacts)
+{
+    if (m_core)
+        m_core->addContacts(contacts);
+}
+
 void QuorumReplica::handOver()
 {
     if (!runs())
@@ -71,10 +78,14 @@
 
 void QuorumReplica::compactWhenLong()
 {
-    if (m_applied < m_core->snapshot().index + m_options.compactEntries)
+    const bool isLong = m_applied >= m_core->snapshot().index + m_options.compactEntries;
+    const bool isLarge
+        = m_applied > m_core->snapshot().index && m_journal.bytes() >= m_bytesAtSnapshot + m_options.compactBytes;
+    if (!isLong && !isLarge)
         return;
     m_core->compact(m_applied, m_host.saveState());
     m_journal.replace(m_core->wholeRecord());
+    m_bytesAtSnapshot = m_journal.bytes();
 }
 
 } // namespace yuccahook::control
--- a/src/control/QuorumReplica.h
+++ b/src/control/QuorumReplica.h
@@ -33,9 +33,11 @@
 public:
     struct Options {
         std::uint32_t id = 1;
-        std::vector<std::uint32_t> peers;
+        std::vector<std::uint32_t> contacts; ///< Other instances to ask for the quorum.
+        bool founds = true; ///< Starts a cluster with the contacts when all of them are empty.
         QuorumTimings timings;
         std::size_t compactEntries = 1024; ///< Log entries applied since the last snapshot that bring about the next.
+        std::uint64_t compactBytes = 4 << 20; ///< Size of the journal that does the same; a disk may hold 64 MB.
     };
 
     /// Opens the journal; see `fault` when it can't.
@@ -55,6 +57,9 @@
     std::optional<std::pair<std::uint64_t, std::uint64_t>> propose(std::string command);
     void handOver();
 
+    /// More instances to ask for the quorum.
+    void addContacts(const std::vector<std::uint32_t>& contacts);
+
     /// Makes durable, sends and applies what is due; commands proposed before it share one sync.
     void flush();
 
@@ -69,6 +74,7 @@
     Journal m_journal;
     std::optional<QuorumCore> m_core;
     std::uint64_t m_applied = 0;
+    std::uint64_t m_bytesAtSnapshot = 0;
 };
 
 } // namespace yuccahook::control
--- a/src/control/ServiceFilter.cpp
+++ b/src/control/ServiceFilter.cpp
@@ -13,6 +13,8 @@
         const auto* service = membership.service(member.service);
         return !service || !wanted(*service);
     });
+    delta.routes.clear(); // an agent takes what balancers send it
+    delta.removedRoutes.clear();
     return delta;
 }
 
--- a/src/control/SnapshotCodec.cpp
+++ b/src/control/SnapshotCodec.cpp
@@ -17,7 +17,9 @@
 {
     ClusterImage image;
     const auto delta = readDelta(reader.getView());
-    image.membership = { delta.cluster, delta.revision, delta.services, delta.members };
+    image.membership = { delta.cluster, delta.revision, delta.services, delta.members, delta.routeVersion,
+        delta.flowIdleMillis, delta.routes };
+    image.routeDocument = reader.getRouteDocument();
     for (const auto note : reader.getNotes())
         image.notes[note.getNumber()] = { note.getContent(), note.getAuthor(), note.getRevision() };
     image.lastId = reader.getLastId();
@@ -32,7 +34,9 @@
     auto builder = arena.initRoot<schema::ClusterImage>();
     const auto& membership = image.membership;
     writeDelta(builder.initView(),
-        { membership.cluster, membership.revision, true, membership.services, {}, membership.members, {} });
+        { membership.cluster, membership.revision, true, membership.services, {}, membership.members, {},
+            membership.routeVersion, membership.flowIdleMillis, membership.routes, {}, {} });
+    builder.setRouteDocument(image.routeDocument);
     auto notes = builder.initNotes(image.notes.size());
     std::size_t index = 0;
     for (const auto& [number, record] : image.notes) {
--- /dev/null
+++ b/src/flow/AgentDirectory.cpp
@@ -0,0 +1,119 @@
+#include "flow/AgentDirectory.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace yuccahook::flow {
+
+namespace {
+
+// Several reports of an agent in the same failure domain, or of one elsewhere; see PacketAgent.
+constexpr std::uint64_t localSilenceMillis = 700;
+constexpr std::uint64_t remoteSilenceMillis = 1600;
+
+std::uint64_t keyOf(const PacketEndpoint& trunk) { return std::uint64_t { trunk.host } << 16 | trunk.port; }
+
+} // namespace
+
+std::uint32_t domainHash(std::string_view domain) { return XXH32(domain.data(), domain.size(), 0); }
+
+AgentDirectory::AgentDirectory(std::string domain, std::uint64_t seed)
+    : m_domain(std::move(domain))
+    , m_random(seed)
+{
+}
+
+void AgentDirectory::setMembership(const Membership& membership)
+{
+    const auto before = std::exchange(m_agents, {});
+    for (const auto& member : membership.members) {
+        const auto* service = membership.service(member.service);
+        if (!service || service->protocol != Protocol::Packet)
+            continue;
+        Agent& agent = m_agents.emplace_back();
+        const auto known = std::find_if(
+            before.begin(), before.end(), [&member](const Agent& other) { return other.member == member.id; });
+        if (known != before.end())
+            agent = *known;
+        agent.member = member.id;
+        agent.service = member.service;
+        agent.trunk = PacketEndpoint::of(member.trunk);
+        agent.isLocal = member.domain == m_domain;
+        agent.state = member.state;
+    }
+    m_byTrunk.clear();
+    for (std::size_t index = 0; index < m_agents.size(); ++index)
+        m_byTrunk[keyOf(m_agents[index].trunk)] = index; // a later member replaces an earlier one of its address
+}
+
+const AgentDirectory::Agent* AgentDirectory::at(const PacketEndpoint& trunk) const
+{
+    const auto found = m_byTrunk.find(keyOf(trunk));
+    return found != m_byTrunk.end() ? &m_agents[found->second] : nullptr;
+}
+
+bool AgentDirectory::report(const PacketEndpoint& trunk, const AgentLoad& load, std::uint64_t nowMillis)
+{
+    const auto found = m_byTrunk.find(keyOf(trunk));
+    if (found == m_byTrunk.end())
+        return false;
+    m_agents[found->second].load = load;
+    m_agents[found->second].heardMillis = nowMillis;
+    return true;
+}
+
+void AgentDirectory::addFlow(const PacketEndpoint& trunk)
+{
+    const auto found = m_byTrunk.find(keyOf(trunk));
+    if (found != m_byTrunk.end())
+        ++m_agents[found->second].load.busy;
+}
+
+bool AgentDirectory::isHeard(const Agent& agent, std::uint64_t nowMillis)
+{
+    const std::uint64_t silence = agent.isLocal ? localSilenceMillis : remoteSilenceMillis;
+    return agent.heardMillis && nowMillis - *agent.heardMillis <= silence;
+}
+
+// Lower is better: a tier, then how full the agent is, then chance.
+std::uint64_t AgentDirectory::rank(const Agent& agent, std::uint64_t nowMillis)
+{
+    enum Tier : std::uint64_t { FreeNear, FreeFar, Queue, Unknown, Silent, Closed, Leaving };
+    const bool heard = isHeard(agent, nowMillis);
+    std::uint64_t tier = Queue;
+    if (agent.state != MemberState::Ready)
+        tier = Leaving;
+    else if (!agent.heardMillis)
+        tier = Unknown;
+    else if (!heard)
+        tier = Silent;
+    else if (!agent.load.accepts)
+        tier = Closed;
+    else if (agent.load.free() > 0)
+        tier = agent.isLocal ? FreeNear : FreeFar;
+    constexpr std::uint64_t fullScale = 1000;
+    const std::uint64_t fullness
+        = tier <= Queue ? agent.load.busy * fullScale / std::max<std::uint64_t>(agent.load.slots, 1) : 0;
+    return tier << 56 | std::min<std::uint64_t>(fullness, 0xffffff) << 32 | (m_random() & 0xffffffff);
+}
+
+const AgentDirectory::Agent* AgentDirectory::choose(
+    std::uint32_t service, const std::vector<std::uint32_t>& excluded, std::uint64_t nowMillis)
+{
+    const Agent* best = nullptr;
+    std::uint64_t bestRank = 0;
+    for (const auto& agent : m_agents) {
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), agent.member) != excluded.end();
+        if (agent.service != service || isExcluded)
+            continue;
+        const std::uint64_t agentRank = rank(agent, nowMillis);
+        if (best && agentRank >= bestRank)
+            continue;
+        best = &agent;
+        bestRank = agentRank;
+    }
+    return best;
+}
+
+} // namespace yuccahook::flow
--- a/src/flow/Membership.cpp
+++ b/src/flow/Membership.cpp
@@ -31,6 +31,25 @@
     });
 }
 
+bool isBefore(const PacketRoute& route, const net::Address& address) { return route.address < address; }
+
+void mergeRoutes(
+    std::vector<PacketRoute>& routes, const std::vector<PacketRoute>& changed, const std::vector<net::Address>& removed)
+{
+    for (const auto& route : changed) {
+        const auto place = std::lower_bound(routes.begin(), routes.end(), route.address, isBefore);
+        if (place != routes.end() && place->address == route.address)
+            *place = route;
+        else
+            routes.insert(place, route);
+    }
+    for (const auto& address : removed) {
+        const auto place = std::lower_bound(routes.begin(), routes.end(), address, isBefore);
+        if (place != routes.end() && place->address == address)
+            routes.erase(place);
+    }
+}
+
 } // namespace
 
 const ServiceSpec* Membership::service(std::uint32_t id) const { return findById(services, id); }
@@ -44,6 +63,12 @@
 
 const Member* Membership::member(std::uint32_t id) const { return findById(members, id); }
 
+const PacketRoute* Membership::route(const net::Address& address) const
+{
+    const auto found = std::lower_bound(routes.begin(), routes.end(), address, isBefore);
+    return found != routes.end() && found->address == address ? &*found : nullptr;
+}
+
 MembershipPointer applied(const Membership& before, const MembershipDelta& delta)
 {
     const bool sameCluster = before.cluster == delta.cluster || before.revision == 0;
@@ -56,6 +81,9 @@
     after->revision = delta.revision;
     merge(after->services, delta.services, delta.removedServices);
     merge(after->members, delta.members, delta.removedMembers);
+    after->routeVersion = delta.routeVersion;
+    after->flowIdleMillis = delta.flowIdleMillis;
+    mergeRoutes(after->routes, delta.routes, delta.removedRoutes);
     return after;
 }
 
--- a/src/flow/Membership.h
+++ b/src/flow/Membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flow/PacketRoute.h"
 #include "kernel/EnumNames.h"
 #include "net/Address.h"
 
@@ -12,7 +13,12 @@
 namespace yuccahook::flow {
 
 /// How callers speak to a service.
-enum class Protocol : std::uint8_t { Datagram, Stream, Http };
+enum class Protocol : std::uint8_t {
+    Datagram,
+    Stream,
+    Http,
+    Packet ///< Packets of flows that end at callers and backend servers; reached through routes, not an address.
+};
 
 /// What an agent takes: everything, no new work, or (until its lease ends) nobody knows.
 enum class MemberState : std::uint8_t { Ready, Draining, Lost };
@@ -54,10 +60,14 @@
     std::uint64_t revision = 0;
     std::vector<ServiceSpec> services;
     std::vector<Member> members;
+    std::uint64_t routeVersion = 0; ///< Of the route table in force; 0 when none is.
+    std::uint64_t flowIdleMillis = 0;
+    std::vector<PacketRoute> routes; ///< Sorted by address.
 
     const ServiceSpec* service(std::uint32_t id) const;
     const ServiceSpec* serviceNamed(std::string_view name) const;
     const Member* member(std::uint32_t id) const;
+    const PacketRoute* route(const net::Address& address) const;
 };
 
 using MembershipPointer = std::shared_ptr<const Membership>;
@@ -71,6 +81,11 @@
     std::vector<std::uint32_t> removedServices;
     std::vector<Member> members;
     std::vector<std::uint32_t> removedMembers;
+    std::uint64_t routeVersion = 0;
+    std::uint64_t flowIdleMillis = 0;
+    std::vector<PacketRoute> routes;
+    std::vector<net::Address> removedRoutes;
+    std::vector<net::Address> controls; ///< RPC addresses of control instances, as an answer names them.
 };
 
 /// The state after a delta; null when the delta is not newer than the state or belongs to another cluster.
@@ -79,7 +94,7 @@
 } // namespace yuccahook::flow
 
 template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::Protocol> {
-    static constexpr std::array<std::string_view, 3> names { "datagram", "stream", "http" };
+    static constexpr std::array<std::string_view, 4> names { "datagram", "stream", "http", "packet" };
 };
 
 template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::MemberState> {
--- /dev/null
+++ b/src/flow/PacketFlow.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "net/Address.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace yuccahook::flow {
+
+/// An IPv4 address and port.
+struct PacketEndpoint {
+    std::uint32_t host = 0;
+    std::uint16_t port = 0;
+
+    bool operator==(const PacketEndpoint&) const = default;
+
+    net::Address address() const { return { 0, ipv4Prefix | host, port }; }
+
+    static PacketEndpoint of(const net::Address& address)
+    {
+        return { static_cast<std::uint32_t>(address.low), address.port };
+    }
+
+private:
+    static constexpr std::uint64_t ipv4Prefix = 0xffffULL << 32; // of an IPv4-mapped IPv6 address
+};
+
+/// Names a flow of packets: its caller and the address that the caller speaks to.
+struct PacketFlow {
+    PacketEndpoint caller;
+    PacketEndpoint route;
+
+    bool operator==(const PacketFlow&) const = default;
+};
+
+/// A hash that every instance computes alike.
+inline std::uint64_t hashOf(const PacketFlow& flow)
+{
+    constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15;
+    std::uint64_t mixed = (std::uint64_t { flow.caller.host } << 32 | flow.route.host) * multiplier;
+    mixed ^= mixed >> 29;
+    mixed = (mixed ^ (std::uint64_t { flow.caller.port } << 16 | flow.route.port)) * multiplier;
+    return mixed ^ (mixed >> 32);
+}
+
+} // namespace yuccahook::flow
+
+template <> struct std::hash<yuccahook::flow::PacketFlow> {
+    std::size_t operator()(const yuccahook::flow::PacketFlow& flow) const noexcept
+    {
+        return yuccahook::flow::hashOf(flow);
+    }
+};
--- /dev/null
+++ b/src/flow/PacketOutput.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "flow/FlowDecision.h"
+#include "flow/PacketCodec.h"
+
+namespace yuccahook::flow {
+
+/// Where packets go that a balancer or an agent sends on. The bytes are valid during the call only.
+class PacketOutput {
+public:
+    PacketOutput() = default;
+    PacketOutput(const PacketOutput&) = delete;
+    PacketOutput& operator=(const PacketOutput&) = delete;
+    virtual ~PacketOutput() = default;
+
+    /// A datagram to the trunk of an agent or a balancer.
+    virtual void toTrunk(const PacketEndpoint& trunk, PacketBytes datagram) = 0;
+    virtual void toCaller(std::uint32_t host, PacketBytes packet) = 0;
+    virtual void toBackend(PacketBytes packet) = 0;
+    virtual void decided(const FlowDecision& decision) = 0;
+};
+
+} // namespace yuccahook::flow
--- /dev/null
+++ b/src/flow/PlacementCache.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "flow/PacketFlow.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <utility>
+
+namespace yuccahook::flow {
+
+/// Where a balancer last sent a flow. A hint: what it lost or has wrong is found again.
+class PlacementCache {
+public:
+    struct Placement {
+        PacketEndpoint agent;
+        std::uint64_t sentMillis = 0;
+    };
+
+    Placement* find(const PacketFlow& flow)
+    {
+        if (const auto found = m_young.find(flow); found != m_young.end())
+            return &found->second;
+        const auto old = m_old.find(flow);
+        if (old == m_old.end())
+            return nullptr;
+        return &m_young.insert_or_assign(flow, old->second).first->second;
+    }
+
+    void set(const PacketFlow& flow, const Placement& placement)
+    {
+        if (m_young.size() >= maximumEntries)
+            age();
+        m_young.insert_or_assign(flow, placement);
+    }
+
+    /// Forgets what was not used since the call before.
+    void age() { m_old = std::exchange(m_young, {}); }
+
+    std::size_t size() const { return m_young.size(); }
+
+private:
+    static constexpr std::size_t maximumEntries = 100'000; // some 6 MB
+
+    std::unordered_map<PacketFlow, Placement> m_young;
+    std::unordered_map<PacketFlow, Placement> m_old;
+};
+
+} // namespace yuccahook::flow
--- a/src/net/DatagramSocket.cpp
+++ b/src/net/DatagramSocket.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t batchSize = 64;
+constexpr std::size_t batchSize = DatagramSocket::batchDatagrams;
 constexpr int socketBufferBytes = 4 << 20;
 
 } // namespace
--- a/src/net/DatagramSocket.h
+++ b/src/net/DatagramSocket.h
@@ -20,6 +20,7 @@
 class DatagramSocket {
 public:
     static constexpr std::size_t maximumDatagramBytes = 2048;
+    static constexpr std::size_t batchDatagrams = 64; ///< Most that one `receive` reads.
 
     DatagramSocket(const DatagramSocket&) = delete;
     DatagramSocket& operator=(const DatagramSocket&) = delete;
--- a/src/net/OperatorServer.cpp
+++ b/src/net/OperatorServer.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t maximumBodyBytes = 4 << 20;
+constexpr const char* serverThreads = "12"; // eight orders of operators under way, and the checks beside them
 
 bool readBody(mg_connection* connection, std::string& body)
 {
@@ -35,8 +36,8 @@
 
 } // namespace
 
-OperatorServer::OperatorServer(Address address, observe::Counters& counters)
-    : m_address(address)
+OperatorServer::OperatorServer(std::vector<Address> addresses, observe::Counters& counters)
+    : m_addresses(std::move(addresses))
     , m_counters(counters)
 {
     addRoute("/health", [this](const HttpRequest&) { return health(); });
@@ -61,8 +62,12 @@
 bool OperatorServer::start()
 {
     mg_init_library(0);
-    const std::string port = m_address.text();
-    const std::array<const char*, 7> options { "listening_ports", port.c_str(), "num_threads", "4",
+    std::string port;
+    for (const auto& address : m_addresses) {
+        if (address.isSet())
+            port.append(port.empty() ? "" : ",").append(address.text());
+    }
+    const std::array<const char*, 7> options { "listening_ports", port.c_str(), "num_threads", serverThreads,
         "request_timeout_ms", "15000", nullptr };
     const mg_callbacks callbacks {};
     m_context = mg_start(&callbacks, nullptr, const_cast<const char**>(options.data()));
--- a/src/net/OperatorServer.h
+++ b/src/net/OperatorServer.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <vector>
 
 struct mg_connection;
 struct mg_context;
@@ -25,7 +26,8 @@
 
     static constexpr std::string_view serviceName = "operator";
 
-    OperatorServer(Address address, observe::Counters& counters);
+    /// Serves on each address that is set.
+    OperatorServer(std::vector<Address> addresses, observe::Counters& counters);
     ~OperatorServer() override;
 
     std::string_view name() const override { return serviceName; }
@@ -42,13 +44,15 @@
     /// Whether /health answers "ready"; until then "live".
     void setReady(bool ready) { m_ready = ready; }
 
+    /// 200 while this process takes new work.
+    HttpReply health() const;
+
 private:
     static int handle(mg_connection* connection, void* self);
     HttpReply answer(const HttpRequest& request) const;
-    HttpReply health() const;
     HttpReply status() const;
 
-    const Address m_address;
+    const std::vector<Address> m_addresses;
     observe::Counters& m_counters;
     std::map<std::string, Handler, std::less<>> m_routes;
     std::map<std::string, Status> m_status;
--- /dev/null
+++ b/src/net/PacketLoop.cpp
@@ -0,0 +1,149 @@
+#include "net/PacketLoop.h"
+
+#include "observe/Log.h"
+
+#include <array>
+#include <cerrno>
+#include <ctime>
+#include <nlohmann/json.hpp>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <utility>
+
+namespace yuccahook::net {
+
+namespace {
+
+constexpr std::size_t roundsBound = 4; // batches of a socket before the others have their turn
+
+} // namespace
+
+PacketLoop::PacketLoop(std::string name)
+    : m_name(std::move(name))
+    , m_poll(epoll_create1(EPOLL_CLOEXEC))
+    , m_wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+}
+
+PacketLoop::~PacketLoop()
+{
+    stop();
+    close(m_poll);
+    close(m_wake);
+}
+
+std::uint64_t PacketLoop::nowMillis()
+{
+    timespec now {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::uint64_t(now.tv_sec) * 1000 + std::uint64_t(now.tv_nsec) / 1'000'000;
+}
+
+DatagramSocket* PacketLoop::open(const Address& address, Take take)
+{
+    auto socket = DatagramSocket::bound(address);
+    if (!socket) {
+        observe::log(
+            observe::Level::Error, "packet-address-unavailable", { { "address", address.text() }, { "errno", errno } });
+        return nullptr;
+    }
+    m_sockets.push_back({ std::move(socket), std::move(take) });
+    return m_sockets.back().socket.get();
+}
+
+void PacketLoop::onTick(std::uint64_t millis, Work tick)
+{
+    m_tickMillis = millis;
+    m_tick = std::move(tick);
+}
+
+bool PacketLoop::start()
+{
+    if (m_poll < 0 || m_wake < 0)
+        return false;
+    const auto watch = [this](int descriptor, std::uint64_t index) {
+        epoll_event event {};
+        event.events = EPOLLIN;
+        event.data.u64 = index;
+        return epoll_ctl(m_poll, EPOLL_CTL_ADD, descriptor, &event) == 0;
+    };
+    bool watched = watch(m_wake, m_sockets.size());
+    for (std::size_t index = 0; index < m_sockets.size(); ++index)
+        watched = watched && watch(m_sockets[index].socket->descriptor(), index);
+    if (watched)
+        m_thread = std::thread([this] { run(); });
+    return watched;
+}
+
+void PacketLoop::post(Work work)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_posted.push_back(std::move(work));
+        if (m_posted.size() > 1)
+            return; // the loop is woken already
+    }
+    eventfd_write(m_wake, 1);
+}
+
+void PacketLoop::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    eventfd_write(m_wake, 1);
+    m_thread.join();
+}
+
+void PacketLoop::runPosted()
+{
+    eventfd_t count = 0;
+    eventfd_read(m_wake, &count);
+    std::vector<Work> posted;
+    {
+        const std::lock_guard lock(m_mutex);
+        posted = std::exchange(m_posted, {});
+    }
+    for (const auto& work : posted)
+        work();
+}
+
+void PacketLoop::run()
+{
+    std::array<epoll_event, 8> events {};
+    std::uint64_t nextTick = nowMillis();
+    for (;;) {
+        const std::uint64_t now = nowMillis();
+        if (now >= nextTick) {
+            m_tick();
+            nextTick = now + m_tickMillis;
+        }
+        for (auto& entry : m_sockets)
+            entry.socket->flush();
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_stopping)
+                return;
+        }
+        const int timeout = static_cast<int>(nextTick - now);
+        const int count = epoll_wait(m_poll, events.data(), events.size(), timeout);
+        for (int index = 0; index < count; ++index) {
+            const std::uint64_t socket = events[index].data.u64;
+            if (socket == m_sockets.size()) {
+                runPosted();
+                continue;
+            }
+            auto& entry = m_sockets[socket];
+            for (std::size_t round = 0; round < roundsBound; ++round) {
+                if (entry.socket->receive(entry.take) < DatagramSocket::batchDatagrams)
+                    break;
+            }
+        }
+    }
+}
+
+} // namespace yuccahook::net
--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -54,7 +54,7 @@
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
-    root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr()));
+    root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut()));
     root->setLevel(levelPointer(levelIndex(level)));
 }
 
--- /dev/null
+++ b/src/roles/AgentPackets.cpp
@@ -0,0 +1,149 @@
+#include "roles/AgentPackets.h"
+
+#include "observe/Log.h"
+
+#include <future>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace yuccahook::roles {
+
+namespace {
+
+constexpr auto reportTimeout = std::chrono::milliseconds(800); // a backend server waits a second for its answer
+constexpr std::uint64_t minimumDrainMillis = 1000; // for the news to reach the balancers
+
+std::uint64_t newIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+} // namespace
+
+AgentPackets::AgentPackets(const settings::Settings& settings, control::ControlClient& client,
+    const flow::PacketCodec& codec, observe::Counters& counters)
+    : m_settings(settings)
+    , m_packetSettings(*settings.agent->packets)
+    , m_client(client)
+    , m_packets(counters.counter("packets_total"))
+    , m_openFlows(counters.counter("packet_flows_open"))
+    , m_log(counters)
+    , m_core(settings.domain, flow::PacketEndpoint::of(m_packetSettings.listen), std::random_device {}(),
+          { m_packetSettings.announceMillis, m_packetSettings.reuseMillis, m_packetSettings.maximumFlowSeconds * 1000 },
+          codec, *this, net::PacketLoop::nowMillis())
+    , m_loop("agent-packets")
+{
+    client.onMembership([this](const flow::MembershipPointer& membership) {
+        m_loop.post([this, membership] { m_core.setMembership(membership); });
+    });
+}
+
+AgentPackets::~AgentPackets() { m_loop.stop(); }
+
+bool AgentPackets::start()
+{
+    m_trunk = m_loop.open(m_packetSettings.listen, [this](const net::Address& source, net::Bytes datagram) {
+        m_packets += 1;
+        m_core.takeFromTrunk(flow::PacketEndpoint::of(source), datagram, net::PacketLoop::nowMillis());
+    });
+    m_outbound = m_loop.open(m_packetSettings.outbound, [this](const net::Address&, net::Bytes packet) {
+        m_packets += 1;
+        m_core.takeFromBackend(packet, net::PacketLoop::nowMillis());
+    });
+    m_loop.onTick(flow::PacketAgent::tickMillis, [this] {
+        m_core.tick(net::PacketLoop::nowMillis());
+        m_openFlows = m_core.flows();
+        m_busy = m_core.busy();
+    });
+    return m_trunk && m_outbound && m_loop.start();
+}
+
+void AgentPackets::drain()
+{
+    m_drainBegan = net::PacketLoop::nowMillis();
+    m_loop.post([this] { m_core.drain(net::PacketLoop::nowMillis()); });
+    const std::lock_guard lock(m_mutex);
+    if (!m_announcement)
+        return;
+    m_announcement->draining = true;
+    m_client.announce(*m_announcement);
+}
+
+bool AgentPackets::drained() const
+{
+    const std::uint64_t since = net::PacketLoop::nowMillis() - m_drainBegan;
+    const std::uint64_t limit = std::uint64_t { m_settings.agent->leaveSeconds } * 1000;
+    return since >= limit || (since >= minimumDrainMillis && m_busy == 0);
+}
+
+template <typename Result> Result AgentPackets::onLoop(std::function<Result()> work, Result otherwise)
+{
+    auto done = std::make_shared<std::promise<Result>>();
+    auto result = done->get_future();
+    m_loop.post([work = std::move(work), done] { done->set_value(work()); });
+    return result.wait_for(reportTimeout) == std::future_status::ready ? result.get() : otherwise;
+}
+
+flow::ReportStatus AgentPackets::takeReport(const flow::BackendReport& report)
+{
+    const auto status = onLoop<flow::ReportStatus>(
+        [this, report] { return m_core.takeReport(report, net::PacketLoop::nowMillis()); }, flow::ReportStatus::Old);
+    if (status == flow::ReportStatus::Old)
+        return status;
+    announce(report, status == flow::ReportStatus::NewIncarnation);
+    return status;
+}
+
+void AgentPackets::announce(const flow::BackendReport& report, bool isNew)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool draining = report.draining || m_drainBegan != 0;
+    const bool same = m_announcement && !isNew && m_announcement->draining == draining
+        && m_announcement->slots == report.slots && m_announcement->service == report.service;
+    if (same)
+        return;
+    control::Announcement announcement;
+    announcement.agent = m_settings.name;
+    announcement.incarnation = m_announcement && !isNew ? m_announcement->incarnation : newIncarnation();
+    announcement.service = report.service;
+    announcement.trunk = m_packetSettings.listen;
+    announcement.domain = m_settings.domain;
+    announcement.slots = report.slots;
+    announcement.draining = draining;
+    m_announcement = announcement;
+    m_client.announce(announcement);
+    observe::log(observe::Level::Info, "backend-reported",
+        { { "id", report.id }, { "started", report.startedMillis }, { "sequence", report.sequence },
+            { "service", report.service }, { "slots", report.slots }, { "draining", report.draining },
+            { "isNew", isNew } });
+}
+
+bool AgentPackets::takeLeave(const std::string& id, std::uint64_t startedMillis)
+{
+    const bool left = onLoop<bool>(
+        [this, id, startedMillis] { return m_core.takeLeave(id, startedMillis, net::PacketLoop::nowMillis()); }, false);
+    observe::log(observe::Level::Info, "backend-left", { { "id", id }, { "taken", left } });
+    const std::lock_guard lock(m_mutex);
+    if (left && m_announcement) {
+        m_announcement->draining = true;
+        m_client.announce(*m_announcement);
+    }
+    return left;
+}
+
+void AgentPackets::toTrunk(const flow::PacketEndpoint& trunk, flow::PacketBytes datagram)
+{
+    m_trunk->queue(trunk.address(), datagram);
+}
+
+void AgentPackets::toCaller(std::uint32_t host, flow::PacketBytes packet)
+{
+    m_trunk->queue(flow::PacketEndpoint { host, m_packetSettings.listen.port }.address(), packet);
+}
+
+void AgentPackets::toBackend(flow::PacketBytes packet) { m_outbound->queue(m_packetSettings.backend, packet); }
+
+void AgentPackets::decided(const flow::FlowDecision& decision) { m_log.note(decision, net::PacketLoop::nowMillis()); }
+
+} // namespace yuccahook::roles
--- /dev/null
+++ b/src/roles/BalancerPackets.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "control/ControlClient.h"
+#include "flow/PacketBalancer.h"
+#include "kernel/Service.h"
+#include "net/PacketLoop.h"
+#include "observe/Counters.h"
+#include "roles/FlowLog.h"
+#include "settings/Settings.h"
+
+#include <atomic>
+#include <memory>
+
+namespace yuccahook::roles {
+
+/// The packet services of a balancer, on a thread of their own.
+class BalancerPackets final : public kernel::Service, private flow::PacketOutput {
+public:
+    static constexpr std::string_view serviceName = "balancer";
+
+    BalancerPackets(const settings::Settings& settings, control::ControlClient& client, const flow::PacketCodec& codec,
+        observe::Counters& counters);
+    ~BalancerPackets() override;
+
+    std::string_view name() const override { return serviceName; }
+    std::vector<std::string_view> dependencies() const override { return { control::ControlClient::serviceName }; }
+    bool start() override;
+    void drain() override;
+    bool drained() const override;
+    void stop() override { m_loop.stop(); }
+
+private:
+    void toTrunk(const flow::PacketEndpoint& trunk, flow::PacketBytes datagram) override;
+    void toCaller(std::uint32_t host, flow::PacketBytes packet) override;
+    void toBackend(flow::PacketBytes) override { }
+    void decided(const flow::FlowDecision& decision) override;
+
+    const settings::BalancerPacketSettings m_settings;
+    control::ControlClient& m_client;
+    observe::Counter& m_packets;
+    observe::Counter& m_cached;
+    FlowLog m_log;
+    flow::PacketBalancer m_core; // loop thread only
+    net::PacketLoop m_loop;
+    net::DatagramSocket* m_callers = nullptr;
+    net::DatagramSocket* m_trunk = nullptr;
+    std::atomic<std::uint64_t> m_drainBegan = 0; // milliseconds; 0 before a drain
+};
+
+} // namespace yuccahook::roles
--- a/src/roles/CommandLine.cpp
+++ b/src/roles/CommandLine.cpp
@@ -20,7 +20,7 @@
 constexpr std::string_view helpText = R"(yuccahook - a layer-4 load balancer
 
   yuccahook balancer|agent|control|all --settings FILE
-      Runs a role. Example: yuccahook all --settings examples/all.json
+      Runs a role; SIGHUP or a change of the file reads the control addresses anew. Example: yuccahook all --settings examples/all.json
   yuccahook check FILE
       Checks a settings file. Example: yuccahook check examples/all.json
   yuccahook note submit FILE --control IP:PORT,... [--dry-run]
@@ -56,14 +56,13 @@
     return code(ExitCode::BadSettings);
 }
 
-int runRole(settings::Role role, const Arguments& arguments, std::ostream& err)
+int runRole(settings::Role role, const Arguments& arguments, std::ostream& err, const Adapter* adapter)
 {
     settings::Faults faults;
-    const auto text = settings::readFile(arguments.settings, faults);
-    const auto parsed = text ? settings::parseSettings(*text, role, faults) : std::nullopt;
+    const auto parsed = settings::loadSettings(arguments.settings, role, faults);
     if (!parsed)
         return reportFaults(faults, err);
-    return runProcess(*parsed, role);
+    return runProcess(*parsed, role, arguments.settings, adapter);
 }
 
 int check(const std::string& path, std::ostream& out, std::ostream& err)
@@ -116,12 +115,12 @@
     return code(report.good ? ExitCode::Success : ExitCode::Failed);
 }
 
-int run(const Arguments& arguments, std::ostream& out, std::ostream& err)
+int run(const Arguments& arguments, std::ostream& out, std::ostream& err, const Adapter* adapter)
 {
     const auto& words = arguments.words;
     const std::string command = words.empty() ? "" : words.front();
     if (const auto role = kernel::valueOf<settings::Role>(command))
-        return runRole(*role, arguments, err);
+        return runRole(*role, arguments, err, adapter);
     if (command == "check" && words.size() == 2)
         return check(words[1], out, err);
     if (command == "note")
@@ -136,7 +135,8 @@
 
 } // namespace
 
-int runCommandLine(int argumentCount, const char* const* arguments, std::ostream& out, std::ostream& err)
+int runCommandLine(
+    int argumentCount, const char* const* arguments, std::ostream& out, std::ostream& err, const Adapter* adapter)
 {
     cxxopts::Options options("yuccahook");
     options.add_options()("settings", "", cxxopts::value<std::string>()->default_value(""))(
@@ -162,7 +162,7 @@
         read.address = parsed["address"].as<std::string>();
         read.dryRun = parsed.count("dry-run") > 0;
         read.json = parsed.count("json") > 0;
-        return run(read, out, err);
+        return run(read, out, err, adapter);
     } catch (const cxxopts::exceptions::exception& exception) {
         err << exception.what() << "\n\n" << helpText;
         return code(ExitCode::Usage);
--- /dev/null
+++ b/src/roles/FlowLog.cpp
@@ -0,0 +1,65 @@
+#include "roles/FlowLog.h"
+
+#include "observe/Log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace yuccahook::roles {
+
+namespace {
+
+// At some 25 us a line these take 0.25 % and 0.5 % of a core.
+constexpr std::uint32_t ordinaryLines = 100; // a second
+constexpr std::uint32_t notableLines = 200;
+
+std::string textOf(const flow::PacketEndpoint& endpoint) { return endpoint.address().text(); }
+
+bool isNotable(flow::FlowVerdict verdict)
+{
+    using flow::FlowVerdict;
+    return verdict == FlowVerdict::Refused || verdict == FlowVerdict::Reset || verdict == FlowVerdict::Searched
+        || verdict == FlowVerdict::Dropped;
+}
+
+} // namespace
+
+FlowLog::FlowLog(observe::Counters& counters)
+    : m_counters(counters)
+    , m_unlogged(counters.counter("flow_lines_dropped_total"))
+{
+}
+
+observe::Counter& FlowLog::counterOf(const flow::FlowDecision& decision)
+{
+    auto*& counter = m_byReason[static_cast<std::size_t>(decision.verdict)][static_cast<std::size_t>(decision.reason)];
+    if (!counter) {
+        const std::string name = "packet_flows_" + std::string(kernel::nameOf(decision.verdict)) + "_total";
+        counter = &m_counters.counter(name, "reason", kernel::nameOf(decision.reason));
+    }
+    return *counter;
+}
+
+void FlowLog::note(const flow::FlowDecision& decision, std::uint64_t nowMillis)
+{
+    counterOf(decision) += 1;
+    if (nowMillis / 1000 != m_second) {
+        m_second = nowMillis / 1000;
+        m_ordinary = 0;
+        m_notable = 0;
+    }
+    const bool notable = isNotable(decision.verdict);
+    std::uint32_t& lines = notable ? m_notable : m_ordinary;
+    if (++lines > (notable ? notableLines : ordinaryLines)) {
+        m_unlogged += 1;
+        return;
+    }
+    nlohmann::json fields { { "caller", textOf(decision.flow.caller) }, { "route", textOf(decision.flow.route) },
+        { "verdict", kernel::nameOf(decision.verdict) }, { "reason", kernel::nameOf(decision.reason) },
+        { "revision", decision.revision }, { "busy", decision.busy }, { "slots", decision.slots },
+        { "inputAgeMillis", decision.inputAgeMillis } };
+    if (decision.peer.port != 0)
+        fields["peer"] = textOf(decision.peer);
+    observe::log(notable ? observe::Level::Warn : observe::Level::Info, "flow", fields);
+}
+
+} // namespace yuccahook::roles
--- a/src/roles/Process.h
+++ b/src/roles/Process.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "roles/Adapter.h"
 #include "settings/Settings.h"
 
+#include <string>
+
 namespace yuccahook::roles {
 
-/// Runs a role until a signal asks it to stop. SIGTERM and SIGINT begin a planned stop, a second one hastens it.
-/// Returns the process's exit code.
-int runProcess(const settings::Settings& settings, settings::Role role);
+/// Runs a role until a signal ends it, and reloads the settings file at `path` when it changes; returns the exit code.
+int runProcess(
+    const settings::Settings& settings, settings::Role role, const std::string& path, const Adapter* adapter);
 
 } // namespace yuccahook::roles
--- a/src/settings/ObjectReader.cpp
+++ b/src/settings/ObjectReader.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::size_t maximumSeenCharacters = 80;
+constexpr int maximumDepth = 32; // settings, notes and announcements nest 5 levels
 
 std::string seenText(const nlohmann::json& value)
 {
@@ -172,7 +173,7 @@
 
 void ObjectReader::finish()
 {
-    if (!m_object.is_object())
+    if (!m_object.is_object() || m_ignoresOthers)
         return;
     for (const auto& member : m_object.items()) {
         if (!m_read.contains(member.key()))
@@ -184,7 +185,12 @@
 {
     std::vector<std::set<std::string>> openObjects;
     bool duplicate = false;
-    const auto check = [&](int, nlohmann::json::parse_event_t event, nlohmann::json& value) {
+    bool tooDeep = false;
+    const auto check = [&](int depth, nlohmann::json::parse_event_t event, nlohmann::json& value) {
+        if (depth > maximumDepth)
+            tooDeep = true;
+        if (tooDeep)
+            return false; // the value is dropped, so nothing grows with the depth
         if (event == nlohmann::json::parse_event_t::object_start)
             openObjects.emplace_back();
         else if (event == nlohmann::json::parse_event_t::object_end)
@@ -199,6 +205,11 @@
     };
     try {
         auto document = nlohmann::json::parse(text, check);
+        if (tooDeep) {
+            faults.push_back({ FaultKind::OutOfRange, "", "values nested too deeply",
+                "at most " + std::to_string(maximumDepth) + " levels" });
+            return std::nullopt;
+        }
         if (!document.is_object()) {
             faults.push_back({ FaultKind::WrongType, "", seenText(document), "an object" });
             return std::nullopt;
@@ -207,6 +218,8 @@
             return document;
     } catch (const nlohmann::json::parse_error& error) {
         faults.push_back({ FaultKind::NotJson, "", "byte " + std::to_string(error.byte), "a JSON object" });
+    } catch (const nlohmann::json::exception& error) {
+        faults.push_back({ FaultKind::OutOfRange, "", error.what(), "numbers that a double holds" });
     }
     return std::nullopt;
 }
--- a/src/settings/ObjectReader.h
+++ b/src/settings/ObjectReader.h
@@ -68,6 +68,9 @@
     std::string pathOf(std::string_view key) const;
     const nlohmann::json& json() const { return m_object; }
 
+    /// Keys that no call asked for are no faults, as in documents of others that may gain keys.
+    void ignoreOthers() { m_ignoresOthers = true; }
+
     /// Reports the keys that were not read.
     void finish();
 
@@ -79,6 +82,7 @@
     const nlohmann::json& m_object;
     const std::string m_path;
     Faults& m_faults;
+    bool m_ignoresOthers = false;
     std::set<std::string, std::less<>> m_read;
 };
 
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -14,12 +14,18 @@
 constexpr std::uint64_t maximumStreamsBound = 1'000'000;
 constexpr std::uint64_t maximumFlowsBound = 1'000'000;
 constexpr std::uint64_t maximumLeaveSeconds = 86'400;
+constexpr std::uint64_t maximumPacketMillis = 600'000;
 constexpr std::uint64_t maximumControlInstances = 7;
 
 bool usesSection(Role role, Role section) { return role == section || role == Role::All; }
 
 void readBalancer(ObjectReader& reader, BalancerSettings& balancer)
 {
+    reader.object("packets", [&balancer](ObjectReader& part) {
+        balancer.packets.emplace();
+        part.address("listen", balancer.packets->listen, true);
+        part.address("trunk", balancer.packets->trunk, true);
+    });
     reader.text("listenHost", balancer.listenHost);
     if (!balancer.listenHost.empty() && !net::Address::parseHost(balancer.listenHost, 1))
         reader.fault(FaultKind::Malformed, "listenHost", '"' + balancer.listenHost + '"', "an IP address");
@@ -29,17 +35,48 @@
 
 void readAgent(ObjectReader& reader, AgentSettings& agent)
 {
-    reader.address("trunk", agent.trunk, true);
+    reader.object("packets", [&agent](ObjectReader& part) {
+        auto& packets = agent.packets.emplace();
+        part.address("listen", packets.listen, true);
+        part.address("outbound", packets.outbound, true);
+        part.address("backend", packets.backend, true);
+        part.integer("announceMillis", packets.announceMillis, 1, maximumPacketMillis);
+        part.integer("reuseMillis", packets.reuseMillis, 1, maximumPacketMillis);
+        part.integer("maximumFlowSeconds", packets.maximumFlowSeconds, 1, maximumLeaveSeconds);
+    });
+    reader.address("trunk", agent.trunk, !agent.packets);
     reader.address("announcedTrunk", agent.announcedTrunk);
     reader.integer("maximumFlows", agent.maximumFlows, 1, maximumFlowsBound);
     reader.integer("leaveSeconds", agent.leaveSeconds, 0, maximumLeaveSeconds);
 }
 
+// An instance without an id of its own is named by its IPv4 address.
+std::uint32_t idOf(const net::Address& address) { return static_cast<std::uint32_t>(address.low); }
+
+// The other instances are the addresses of `control`, when the section names none.
+void usePeersOf(const std::vector<net::Address>& addresses, ControlSettings& control)
+{
+    if (!control.peers.empty() || !control.isNamedByAddress)
+        return;
+    bool listed = addresses.empty();
+    for (const auto& address : addresses) {
+        listed = listed || address == control.listen;
+        if (address != control.listen && idOf(address) != control.id)
+            control.peers.push_back({ idOf(address), address });
+    }
+    control.founds = control.founds && listed;
+}
+
 void readControl(ObjectReader& reader, ControlSettings& control)
 {
-    reader.integer("id", control.id, 1, UINT32_MAX, true);
     reader.address("listen", control.listen, true);
-    reader.text("data", control.data, true);
+    control.id = idOf(control.listen);
+    control.isNamedByAddress = !reader.has("id");
+    reader.integer("id", control.id, 1, UINT32_MAX);
+    if (!reader.has("data"))
+        reader.fault(FaultKind::MissingKey, "data", "", "a path, or an empty string for a relay without a disk");
+    reader.text("data", control.data);
+    reader.flag("founds", control.founds);
     std::set<std::uint32_t> ids { control.id };
     std::set<net::Address> addresses { control.listen };
     reader.objects("peers", [&](ObjectReader& peerReader) {
@@ -81,8 +118,13 @@
     reader.text("name", settings.name, true);
     reader.text("domain", settings.domain, true);
     reader.address("operator", settings.operatorAddress, true);
+    reader.address("health", settings.healthAddress);
     reader.object("log", [&](ObjectReader& log) { log.choice("level", settings.logLevel); });
     reader.addresses("control", settings.control, usesSection(role, Role::Balancer) || usesSection(role, Role::Agent));
+    std::uint16_t controlPort = 0;
+    reader.integer("controlPort", controlPort, 1, UINT16_MAX);
+    for (auto& address : settings.control)
+        address.port = controlPort != 0 ? controlPort : address.port;
     const auto section = [&](std::string_view key, Role owner, auto& aggregate, auto read) {
         if (!reader.has(key) && !usesSection(role, owner))
             return;
@@ -93,6 +135,8 @@
     section("balancer", Role::Balancer, settings.balancer, readBalancer);
     section("agent", Role::Agent, settings.agent, readAgent);
     section("controlInstance", Role::Control, settings.controlInstance, readControl);
+    if (settings.controlInstance)
+        usePeersOf(settings.control, *settings.controlInstance);
     reader.finish();
     checkAddressesDiffer(settings, faults);
     if (faults.size() != faultsBefore)
@@ -100,6 +144,12 @@
     return settings;
 }
 
+std::optional<Settings> loadSettings(const std::string& path, Role role, Faults& faults)
+{
+    const auto text = readFile(path, faults);
+    return text ? parseSettings(*text, role, faults) : std::nullopt;
+}
+
 std::optional<Role> roleOf(std::string_view text, Faults& faults)
 {
     const auto document = parseJson(text, faults);
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -19,13 +19,31 @@
 /// Mildest level of log events that is written.
 enum class LogLevel { Debug, Info, Warn, Error };
 
+/// Where packets of encapsulated flows come and go at a balancer.
+struct BalancerPacketSettings {
+    net::Address listen; ///< UDP, for the routers in front.
+    net::Address trunk; ///< UDP, for agents.
+};
+
+/// Where packets of encapsulated flows come and go at an agent.
+struct AgentPacketSettings {
+    net::Address listen; ///< UDP, for balancers and other agents.
+    net::Address outbound; ///< UDP, for what the backend server sends.
+    net::Address backend; ///< UDP, where the backend server takes packets.
+    std::uint32_t announceMillis = 1200; ///< How often the backend server announces itself.
+    std::uint32_t reuseMillis = 2000; ///< Its address may belong to another service this long after it is gone.
+    std::uint32_t maximumFlowSeconds = 60; ///< A flow that is older may be forgotten.
+};
+
 struct BalancerSettings {
+    std::optional<BalancerPacketSettings> packets; ///< Serves packet services instead of the others.
     std::string listenHost; ///< Takes services' ports on this host instead of the services' own addresses.
     std::uint32_t trafficThreads = 1;
     std::uint32_t maximumStreams = 100'000;
 };
 
 struct AgentSettings {
+    std::optional<AgentPacketSettings> packets; ///< The backend server takes packets; `trunk` is not used.
     net::Address trunk; ///< UDP and TCP, for balancers and other agents.
     net::Address
         announcedTrunk; ///< Where others reach the trunk when an address translation lies between; unset: `trunk`.
@@ -43,6 +61,8 @@
     net::Address listen; ///< RPC, for every other process.
     std::string data; ///< The data folder.
     std::vector<QuorumPeerSettings> peers; ///< The other control instances.
+    bool isNamedByAddress = false; ///< Has its IPv4 address as its id, and the addresses of `control` as peers.
+    bool founds = true; ///< May start a cluster with `peers` when all of them are empty.
 };
 
 /// A settings file, checked.
@@ -50,6 +70,7 @@
     std::string name;
     std::string domain;
     net::Address operatorAddress;
+    net::Address healthAddress; ///< A second address for the same calls; not set for none.
     LogLevel logLevel = LogLevel::Info;
     std::vector<net::Address> control; ///< RPC addresses of control instances, preferred first.
     std::optional<BalancerSettings> balancer;
@@ -61,6 +82,9 @@
 /// there is one.
 std::optional<Settings> parseSettings(std::string_view text, Role role, Faults& faults);
 
+/// Reads a settings file and checks it, as `parseSettings` does.
+std::optional<Settings> loadSettings(const std::string& path, Role role, Faults& faults);
+
 /// The role whose section a settings file has; `All` when it has more than one.
 std::optional<Role> roleOf(std::string_view text, Faults& faults);
 
--- a/tests/control/QuorumSimulation.cpp
+++ b/tests/control/QuorumSimulation.cpp
@@ -43,7 +43,7 @@
 
     void start(std::vector<std::uint32_t> peers)
     {
-        QuorumReplica::Options options { m_id, std::move(peers), {}, compactEntries };
+        QuorumReplica::Options options { m_id, std::move(peers), true, {}, compactEntries };
         options.timings.preVote = m_simulation.m_mutation != Mutation::NoPreVote;
         state = ClusterState(0);
         waiting.clear();
