Hold packets at a new balancer and agent; never reset a flow that a copy may have opened

Found by the packet model: a copy of an opening packet that one agent refuses resets a flow that another copy has opened.

Change: packets wait up to 1.2 s for first routes, loads and the backend server's first report; copies are declined without a reset; the first election timeout after a start is 150 to 300 ms; waiting is bounded by 0.8 of the goal in a burst and 0.4 after half a second without a free slot.

--- /dev/null
+++ b/bench/PacketModel.cpp
@@ -0,0 +1,436 @@
+#include "PacketModel.h"
+
+#include "PacketModelNodes.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace yuccahook::bench {
+
+namespace {
+
+constexpr double inDomainDelay = 0.2; // milliseconds one way
+constexpr double crossDomainDelay = 1.4;
+constexpr double callerDelay = 1.0;
+constexpr double firstCopy = 200;
+constexpr double secondCopy = 600;
+constexpr double attemptEnd = 1400;
+constexpr double longestInterval = 1600;
+constexpr std::size_t requestBytes = 300;
+constexpr std::uint32_t routeHost = 0xc6120001;
+constexpr std::uint16_t routePort = 80;
+
+double delayBetween(std::uint32_t domain, std::uint32_t other)
+{
+    return domain == other ? inDomainDelay : crossDomainDelay;
+}
+
+double percentile(std::vector<double>& values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[std::min(values.size() - 1, static_cast<std::size_t>(share * double(values.size())))];
+}
+
+} // namespace
+
+PacketModel::PacketModel(PacketModelOptions options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_membership(std::make_shared<flow::Membership>())
+{
+    m_membership->cluster = 1;
+    for (std::uint32_t service = 0; service < options.services; ++service) {
+        flow::ServiceSpec spec;
+        spec.id = service + 1;
+        spec.name = "service-" + std::to_string(service);
+        spec.protocol = flow::Protocol::Packet;
+        m_membership->services.push_back(spec);
+        flow::PacketRoute route;
+        route.address = flow::PacketEndpoint { routeHost, static_cast<std::uint16_t>(routePort + service) }.address();
+        route.targets = { { spec.name, 1 } };
+        route.latencyGoalMillis = options.goalMillis;
+        m_membership->routes.push_back(route);
+    }
+    m_membership->routeVersion = 1;
+    for (std::size_t index = 0; index < std::size_t { options.domains } * options.balancers; ++index)
+        m_balancers.push_back(std::make_unique<BalancerNode>(*this, index));
+    for (std::size_t index = 0; index < std::size_t { options.domains } * options.agents; ++index) {
+        m_agents.push_back(std::make_unique<AgentNode>(*this, index));
+        m_agents.back()->member = ++m_nextMember;
+    }
+    publish();
+    for (const auto& agent : m_agents) {
+        agent->start();
+        agent->report();
+    }
+    for (const auto& balancer : m_balancers)
+        balancer->start();
+    // Traffic begins once loads have been told.
+    schedule(1000, [this] { arrive(); });
+}
+
+PacketModel::~PacketModel() = default;
+
+void PacketModel::schedule(double delayMillis, std::function<void()> work)
+{
+    m_events.push({ m_now + delayMillis, m_order++, std::move(work) });
+}
+
+void PacketModel::at(double seconds, std::function<void()> work)
+{
+    m_events.push({ 1000 + seconds * 1000, m_order++, std::move(work) });
+}
+
+flow::Member PacketModel::memberOf(std::size_t index) const
+{
+    const auto& agent = *m_agents[index];
+    flow::Member member;
+    member.id = agent.member;
+    member.agent = "agent-" + std::to_string(index);
+    member.service = agent.service + 1;
+    member.trunk = agent.trunk.address();
+    member.domain = "domain-" + std::to_string(agent.domain);
+    member.slots = m_options.slots;
+    member.state = agent.draining ? flow::MemberState::Draining : flow::MemberState::Ready;
+    return member;
+}
+
+void PacketModel::publish()
+{
+    auto next = std::make_shared<flow::Membership>(*m_membership);
+    ++next->revision;
+    next->members.clear();
+    for (std::size_t index = 0; index < m_agents.size(); ++index)
+        next->members.push_back(memberOf(index));
+    std::sort(next->members.begin(), next->members.end(),
+        [](const flow::Member& one, const flow::Member& other) { return one.id < other.id; });
+    m_membership = next;
+    for (const auto& balancer : m_balancers) {
+        if (balancer->core && balancer->knowsRoutes)
+            balancer->core->setMembership(next, nowMillis());
+    }
+    for (const auto& agent : m_agents) {
+        if (agent->core)
+            agent->core->setMembership(next, nowMillis());
+    }
+}
+
+PacketModelFigures PacketModel::run()
+{
+    const double end = 1000 + m_options.seconds * 1000;
+    while (!m_events.empty() && (m_now < end || m_openRequests > 0)) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.work();
+    }
+    m_figures.p50 = percentile(m_latencies, 0.5);
+    m_figures.p99 = percentile(m_latencies, 0.99);
+    std::vector<double> ran;
+    for (const auto& agent : m_agents)
+        ran.push_back(double(agent->ran));
+    const double mean = std::accumulate(ran.begin(), ran.end(), 0.0) / double(ran.size());
+    m_figures.busiestOverMean = mean > 0 ? *std::max_element(ran.begin(), ran.end()) / mean : 1;
+    return m_figures;
+}
+
+// Callers.
+
+void PacketModel::arrive()
+{
+    if (m_now >= 1000 + m_options.seconds * 1000)
+        return;
+    auto request = std::make_shared<Request>();
+    request->number = ++m_nextRequest;
+    request->domain = static_cast<std::uint32_t>(m_random() % m_options.domains);
+    request->asked = m_now;
+    request->isUnsafe = uniform() < m_options.unsafeShare;
+    ++m_figures.asked;
+    ++m_openRequests;
+    schedule(m_options.deadlineMillis, [this, request] { finish(*request, false); });
+    tryOnce(request);
+    const double work = m_options.workMillis * (1 + m_options.tailShare * (m_options.tailFactor - 1));
+    const double perMilli = m_options.load * double(m_agents.size()) * m_options.slots / work;
+    schedule(std::exponential_distribution<>(perMilli)(m_random), [this] { arrive(); });
+}
+
+void PacketModel::tryOnce(const std::shared_ptr<Request>& request)
+{
+    if (request->ended)
+        return;
+    auto attempt = std::make_shared<Attempt>();
+    attempt->request = request;
+    attempt->domain = request->domain;
+    if (++m_nextPort == 0xffff) {
+        m_nextPort = 1025;
+        ++m_nextHost;
+    }
+    attempt->flow.caller = { 0x64400000 | m_nextHost, static_cast<std::uint16_t>(m_nextPort) };
+    const auto port = static_cast<std::uint16_t>(routePort + request->number % m_options.services);
+    attempt->flow.route = { routeHost, port };
+    ++request->tries;
+    m_attempts[std::uint64_t { attempt->flow.caller.host } << 16 | attempt->flow.caller.port] = attempt;
+    const auto open = [this, attempt](std::uint32_t copy) {
+        if (attempt->ended || attempt->answerSequence != 0)
+            return;
+        flow::PacketHeader header;
+        header.opens = true;
+        header.copy = copy;
+        sendFromCaller(*attempt, header);
+    };
+    open(0);
+    schedule(firstCopy, [open] { open(1); });
+    schedule(secondCopy, [open] { open(2); });
+    schedule(attemptEnd, [this, attempt] {
+        if (attempt->answerSequence == 0)
+            endAttempt(*attempt, true);
+    });
+}
+
+void PacketModel::sendFromCaller(const Attempt& attempt, const flow::PacketHeader& pattern)
+{
+    flow::PacketHeader header = pattern;
+    header.source = attempt.flow.caller;
+    header.destination = attempt.flow.route;
+    const std::size_t data = header.opens || header.finishes || header.dataBytes == 0 ? 0 : requestBytes;
+    auto packet = ModelCodec::encode(header, attempt.request->number, data);
+    // As a router does: by a hash over the balancers in rotation, of the caller's failure domain first.
+    std::vector<BalancerNode*> ready;
+    for (const auto& balancer : m_balancers) {
+        if (balancer->domain == attempt.domain && balancer->core)
+            ready.push_back(balancer.get());
+    }
+    if (ready.empty()) {
+        for (const auto& balancer : m_balancers) {
+            if (balancer->core)
+                ready.push_back(balancer.get());
+        }
+    }
+    if (ready.empty())
+        return;
+    auto* const balancer = ready[flow::hashOf(attempt.flow) % ready.size()];
+    schedule(callerDelay, [this, balancer, packet = std::move(packet)] {
+        if (balancer->core)
+            balancer->core->takeFromCaller(packet, nowMillis());
+    });
+}
+
+void PacketModel::retransmit(const std::shared_ptr<Attempt>& attempt, double interval)
+{
+    if (attempt->ended || attempt->request->ended)
+        return;
+    flow::PacketHeader header;
+    header.acknowledges = true;
+    header.acknowledged = attempt->answerSequence + 1;
+    header.dataBytes = requestBytes;
+    sendFromCaller(*attempt, header);
+    schedule(interval, [this, attempt, interval] { retransmit(attempt, std::min(interval * 2, longestInterval)); });
+}
+
+void PacketModel::toCaller(std::uint32_t fromDomain, flow::PacketBytes bytes)
+{
+    const auto header = *modelCodec().decode(bytes);
+    const auto& caller = header.destination;
+    const auto attempt = m_attempts[std::uint64_t { caller.host } << 16 | caller.port].lock();
+    if (!attempt)
+        return;
+    m_figures.crossBytes += fromDomain != attempt->domain ? bytes.size() : 0;
+    schedule(callerDelay + delayBetween(fromDomain, attempt->domain), [this, attempt, header] {
+        if (attempt->ended || attempt->request->ended)
+            return;
+        if (header.resets) {
+            m_figures.resets += attempt->open ? 0 : 1;
+            if (attempt->open) {
+                const auto& holder = *m_agents[attempt->backend];
+                m_figures.brokenFlows += holder.alive && holder.incarnation == attempt->incarnation ? 1 : 0;
+            }
+            endAttempt(*attempt, attempt->answerSequence == 0 || !attempt->request->isUnsafe);
+        } else if (header.opens && attempt->answerSequence == 0) {
+            attempt->answerSequence = header.sequence;
+            flow::PacketHeader acknowledgement;
+            acknowledgement.acknowledges = true;
+            acknowledgement.acknowledged = header.sequence + 1;
+            sendFromCaller(*attempt, acknowledgement);
+            retransmit(attempt, firstCopy);
+        } else if (header.dataBytes > 0 && header.finishes) {
+            endAttempt(*attempt, true);
+        } else if (header.dataBytes > 0) {
+            flow::PacketHeader end;
+            end.acknowledges = true;
+            end.acknowledged = attempt->answerSequence + 1;
+            end.finishes = true;
+            sendFromCaller(*attempt, end);
+            attempt->ended = true;
+            finish(*attempt->request, true);
+        }
+    });
+}
+
+void PacketModel::endAttempt(Attempt& attempt, bool mayRepeat)
+{
+    if (std::exchange(attempt.ended, true) || attempt.request->ended)
+        return;
+    const auto request = attempt.request;
+    if (!mayRepeat || request->tries >= m_options.tries) {
+        finish(*request, false);
+        return;
+    }
+    schedule(50.0 * request->tries, [this, request] { tryOnce(request); });
+}
+
+void PacketModel::finish(Request& request, bool served)
+{
+    if (std::exchange(request.ended, true))
+        return;
+    --m_openRequests;
+    const double latency = m_now - request.asked;
+    if (!served)
+        ++m_figures.failed;
+    else if (latency <= m_options.goalMillis)
+        ++m_figures.inGoal;
+    else
+        ++m_figures.late;
+    if (served)
+        m_latencies.push_back(latency);
+    m_figures.ranTwice += request.isUnsafe && m_runs[request.number] > 1 ? 1 : 0;
+}
+
+void PacketModel::toTrunk(std::uint32_t fromDomain, const flow::PacketEndpoint& from, const flow::PacketEndpoint& to,
+    flow::PacketBytes datagram)
+{
+    std::vector<std::uint8_t> copy(datagram.begin(), datagram.end());
+    for (const auto& agent : m_agents) {
+        if (agent->trunk != to)
+            continue;
+        m_figures.crossBytes += agent->domain != fromDomain ? datagram.size() : 0;
+        schedule(delayBetween(fromDomain, agent->domain), [this, node = agent.get(), from, copy = std::move(copy)] {
+            if (node->core && m_now >= node->frozenUntil)
+                node->core->takeFromTrunk(from, copy, nowMillis());
+        });
+        return;
+    }
+    for (const auto& balancer : m_balancers) {
+        if (balancer->trunk != to)
+            continue;
+        m_figures.crossBytes += balancer->domain != fromDomain ? datagram.size() : 0;
+        schedule(
+            delayBetween(fromDomain, balancer->domain), [this, node = balancer.get(), from, copy = std::move(copy)] {
+                if (node->core)
+                    node->core->takeFromAgent(from, copy, nowMillis());
+            });
+        return;
+    }
+}
+
+// Faults and changes.
+
+void PacketModel::crashBackend(std::size_t index, double forSeconds)
+{
+    auto& agent = *m_agents[index];
+    agent.alive = false;
+    agent.running = 0;
+    agent.waiting.clear();
+    agent.flows.clear();
+    schedule(forSeconds * 1000, [this, &agent] {
+        agent.alive = true;
+        ++agent.incarnation;
+        agent.draining = false;
+        agent.reports = 0;
+        if (agent.core) {
+            flow::BackendReport report;
+            report.id = "backend-" + std::to_string(agent.index);
+            report.startedMillis = agent.incarnation;
+            report.sequence = ++agent.reports;
+            report.service = "service-" + std::to_string(agent.service);
+            report.slots = m_options.slots;
+            agent.core->takeReport(report, nowMillis());
+        }
+    });
+}
+
+void PacketModel::slowBackend(std::size_t index, double factor, double forSeconds)
+{
+    auto& agent = *m_agents[index];
+    agent.slowness = factor;
+    schedule(forSeconds * 1000, [&agent] { agent.slowness = 1; });
+}
+
+void PacketModel::freezeAgent(std::size_t index, double forSeconds)
+{
+    m_agents[index]->frozenUntil = m_now + forSeconds * 1000;
+}
+
+void PacketModel::restartAgent(std::size_t index, double downSeconds)
+{
+    auto& agent = *m_agents[index];
+    agent.core.reset();
+    schedule(downSeconds * 1000, [this, &agent] {
+        agent.member = ++m_nextMember;
+        agent.start();
+        schedule(100, [this] { publish(); });
+    });
+}
+
+void PacketModel::stopAgent(std::size_t index, double downSeconds)
+{
+    constexpr double drainMillis = 1500;
+    m_agents[index]->core->drain(nowMillis());
+    schedule(drainMillis, [this, index, downSeconds] { restartAgent(index, downSeconds); });
+}
+
+void PacketModel::drainBackend(std::size_t index)
+{
+    auto& agent = *m_agents[index];
+    agent.draining = true;
+    agent.drainedAt = m_now;
+    flow::BackendReport report;
+    report.id = "backend-" + std::to_string(index);
+    report.startedMillis = agent.incarnation;
+    report.sequence = ++agent.reports;
+    report.service = "service-" + std::to_string(agent.service);
+    report.slots = m_options.slots;
+    report.draining = true;
+    if (agent.core)
+        agent.core->takeReport(report, nowMillis());
+    schedule(100, [this] { publish(); });
+}
+
+void PacketModel::restartBalancer(std::size_t index, double downSeconds)
+{
+    auto& balancer = *m_balancers[index];
+    balancer.core.reset();
+    schedule(downSeconds * 1000, [&balancer] { balancer.start(); });
+}
+
+void PacketModel::loseMembership(std::size_t index, double forSeconds)
+{
+    auto& balancer = *m_balancers[index];
+    balancer.knowsRoutes = false;
+    balancer.start();
+    schedule(forSeconds * 1000, [this, &balancer] {
+        balancer.knowsRoutes = true;
+        balancer.core->setMembership(std::make_shared<flow::Membership>(*m_membership), nowMillis());
+    });
+}
+
+void PacketModel::moveRouteTo(std::uint32_t service)
+{
+    auto next = std::make_shared<flow::Membership>(*m_membership);
+    next->routes.front().targets = { { "service-" + std::to_string(service), 1 } };
+    ++next->routeVersion;
+    m_membership = next;
+    publish();
+}
+
+void PacketModel::dropRoute()
+{
+    auto next = std::make_shared<flow::Membership>(*m_membership);
+    next->routes.erase(next->routes.begin());
+    ++next->routeVersion;
+    m_membership = next;
+    publish();
+}
+
+} // namespace yuccahook::bench
--- /dev/null
+++ b/bench/PacketModelNodes.cpp
@@ -0,0 +1,322 @@
+#include "PacketModelNodes.h"
+
+#include <algorithm>
+
+namespace yuccahook::bench {
+
+namespace {
+
+constexpr std::size_t headerBytes = 32;
+constexpr std::size_t requestAt = 24;
+constexpr double backendDelay = 0.1; // milliseconds between an agent and its backend server
+constexpr double handshakeMillis = 0.3;
+constexpr double reportMillis = 1200;
+constexpr std::size_t answerBytes = 600;
+constexpr double inFlightMillis = 10; // what an agent sent before it heard of a drain
+
+enum Flag : std::uint8_t { Opens = 1, Acknowledges = 2, Finishes = 4, Resets = 8 };
+
+template <typename Number> void put(std::vector<std::uint8_t>& bytes, std::size_t at, Number number)
+{
+    std::memcpy(bytes.data() + at, &number, sizeof number);
+}
+
+template <typename Number> Number take(flow::PacketBytes bytes, std::size_t at)
+{
+    Number number {};
+    std::memcpy(&number, bytes.data() + at, sizeof number);
+    return number;
+}
+
+} // namespace
+
+const ModelCodec& modelCodec()
+{
+    static const ModelCodec codec;
+    return codec;
+}
+
+std::vector<std::uint8_t> ModelCodec::encode(const flow::PacketHeader& header, std::uint64_t request, std::size_t bytes)
+{
+    std::vector<std::uint8_t> packet(headerBytes + bytes);
+    put(packet, 0, header.source.host);
+    put(packet, 4, header.destination.host);
+    put(packet, 8, header.source.port);
+    put(packet, 10, header.destination.port);
+    packet[flagsAt] = static_cast<std::uint8_t>((header.opens ? Opens : 0) | (header.acknowledges ? Acknowledges : 0)
+        | (header.finishes ? Finishes : 0) | (header.resets ? Resets : 0) | (header.bounced ? bounced : 0));
+    put(packet, 16, header.sequence);
+    put(packet, 20, header.opens && !header.acknowledges ? header.copy : header.acknowledged);
+    put(packet, requestAt, request);
+    return packet;
+}
+
+std::uint64_t ModelCodec::requestOf(flow::PacketBytes packet) { return take<std::uint64_t>(packet, requestAt); }
+
+std::optional<flow::PacketHeader> ModelCodec::decode(flow::PacketBytes bytes) const
+{
+    if (bytes.size() < headerBytes)
+        return std::nullopt;
+    flow::PacketHeader header;
+    header.source = { take<std::uint32_t>(bytes, 0), take<std::uint16_t>(bytes, 8) };
+    header.destination = { take<std::uint32_t>(bytes, 4), take<std::uint16_t>(bytes, 10) };
+    const std::uint8_t flags = bytes[flagsAt];
+    header.opens = (flags & Opens) != 0;
+    header.acknowledges = (flags & Acknowledges) != 0;
+    header.finishes = (flags & Finishes) != 0;
+    header.resets = (flags & Resets) != 0;
+    header.bounced = (flags & bounced) != 0;
+    header.sequence = take<std::uint32_t>(bytes, 16);
+    header.acknowledged = take<std::uint32_t>(bytes, 20);
+    if (header.opens && !header.acknowledges)
+        header.copy = header.acknowledged;
+    header.dataBytes = static_cast<std::uint32_t>(bytes.size() - headerBytes);
+    return header;
+}
+
+flow::PacketCodec::Reset ModelCodec::reset(const flow::PacketFlow& flow, std::uint32_t sequence) const
+{
+    flow::PacketHeader header;
+    header.source = flow.route;
+    header.destination = flow.caller;
+    header.resets = true;
+    header.sequence = sequence;
+    const auto packet = encode(header, 0, 0);
+    Reset reset {};
+    std::copy(packet.begin(), packet.end(), reset.begin());
+    return reset;
+}
+
+// Balancers.
+
+PacketModel::BalancerNode::BalancerNode(PacketModel& owner, std::size_t index)
+    : model(owner)
+    , domain(static_cast<std::uint32_t>(index / owner.m_options.balancers))
+    , trunk { 0x0a000000 | static_cast<std::uint32_t>(index + 1), 7000 }
+{
+}
+
+void PacketModel::BalancerNode::start()
+{
+    core = std::make_unique<flow::PacketBalancer>(
+        "domain-" + std::to_string(domain), model.m_random(), modelCodec(), static_cast<flow::PacketOutput&>(*this));
+    if (knowsRoutes)
+        core->setMembership(std::make_shared<flow::Membership>(*model.m_membership), model.nowMillis());
+    tick();
+}
+
+void PacketModel::BalancerNode::tick()
+{
+    if (!core)
+        return;
+    core->tick(model.nowMillis(), 0);
+    model.schedule(flow::PacketBalancer::tickMillis, [this, running = core.get()] {
+        if (core.get() == running)
+            tick();
+    });
+}
+
+void PacketModel::BalancerNode::toTrunk(const flow::PacketEndpoint& to, flow::PacketBytes datagram)
+{
+    model.toTrunk(domain, trunk, to, datagram);
+}
+
+void PacketModel::BalancerNode::toCaller(std::uint32_t, flow::PacketBytes packet) { model.toCaller(domain, packet); }
+
+void PacketModel::BalancerNode::decided(const flow::FlowDecision& decision)
+{
+    ++model.m_figures.decisions[std::string(kernel::nameOf(decision.verdict)) + " "
+        + std::string(kernel::nameOf(decision.reason))];
+}
+
+// Agents and their backend servers.
+
+PacketModel::AgentNode::AgentNode(PacketModel& owner, std::size_t at)
+    : model(owner)
+    , index(at)
+    , domain(static_cast<std::uint32_t>(at % owner.m_options.domains))
+    , service(static_cast<std::uint32_t>(at / owner.m_options.domains % owner.m_options.services))
+    , trunk { 0x0a010000 | static_cast<std::uint32_t>(at + 1), 7001 }
+{
+}
+
+void PacketModel::AgentNode::start()
+{
+    core = std::make_unique<flow::PacketAgent>("domain-" + std::to_string(domain), trunk, model.m_random(),
+        flow::PacketAgentLimits {}, modelCodec(), static_cast<flow::PacketOutput&>(*this), model.nowMillis());
+    core->setMembership(std::make_shared<flow::Membership>(*model.m_membership), model.nowMillis());
+    tick();
+}
+
+void PacketModel::AgentNode::tick()
+{
+    if (!core)
+        return;
+    if (model.m_now >= frozenUntil)
+        core->tick(model.nowMillis());
+    model.schedule(flow::PacketAgent::tickMillis, [this, running = core.get()] {
+        if (core.get() == running)
+            tick();
+    });
+}
+
+void PacketModel::AgentNode::report()
+{
+    if (alive && core && model.m_now >= frozenUntil) {
+        flow::BackendReport report;
+        report.id = "backend-" + std::to_string(index);
+        report.startedMillis = incarnation;
+        report.sequence = ++reports;
+        report.service = "service-" + std::to_string(service);
+        report.slots = model.m_options.slots;
+        report.draining = draining;
+        core->takeReport(report, model.nowMillis());
+    }
+    model.schedule(reportMillis * (0.95 + 0.1 * model.uniform()), [this] { report(); });
+}
+
+void PacketModel::AgentNode::toTrunk(const flow::PacketEndpoint& to, flow::PacketBytes datagram)
+{
+    model.toTrunk(domain, trunk, to, datagram);
+}
+
+void PacketModel::AgentNode::toCaller(std::uint32_t, flow::PacketBytes packet) { model.toCaller(domain, packet); }
+
+void PacketModel::AgentNode::toBackend(flow::PacketBytes packet)
+{
+    model.schedule(backendDelay, [this, copy = std::vector(packet.begin(), packet.end())] {
+        if (alive && model.m_now >= frozenUntil)
+            take(copy);
+    });
+}
+
+void PacketModel::AgentNode::decided(const flow::FlowDecision& decision)
+{
+    ++model.m_figures.decisions[std::string(kernel::nameOf(decision.verdict)) + " "
+        + std::string(kernel::nameOf(decision.reason))];
+}
+
+void PacketModel::AgentNode::send(std::vector<std::uint8_t> packet)
+{
+    model.schedule(backendDelay, [this, copy = std::move(packet)] {
+        if (core && model.m_now >= frozenUntil)
+            core->takeFromBackend(copy, model.nowMillis());
+    });
+}
+
+void PacketModel::AgentNode::take(const std::vector<std::uint8_t>& packet)
+{
+    const auto header = *modelCodec().decode(packet);
+    const auto flow = header.fromCaller();
+    const auto attempt = model.m_attempts[std::uint64_t { flow.caller.host } << 16 | flow.caller.port].lock();
+    auto found = flows.find(flow);
+    if (found == flows.end() && !header.opens) {
+        if (attempt && attempt->open && (attempt->backend != index || attempt->incarnation != incarnation)) {
+            const auto& holder = *model.m_agents[attempt->backend];
+            model.m_figures.strayPackets += holder.alive && holder.incarnation == attempt->incarnation ? 1 : 0;
+        }
+        auto back = packet;
+        back[ModelCodec::flagsAt] |= ModelCodec::bounced;
+        send(std::move(back));
+        return;
+    }
+    flow::PacketHeader answer;
+    answer.source = flow.route;
+    answer.destination = flow.caller;
+    answer.acknowledges = true;
+    if (header.opens) {
+        if (found == flows.end()) {
+            found = flows.emplace(flow, BackendFlow { static_cast<std::uint32_t>(model.m_random()), false, false, {} })
+                        .first;
+            model.m_figures.afterDrain += draining && model.m_now > drainedAt + inFlightMillis ? 1 : 0;
+            const bool allowed = flow.route.port == 80 + service || model.m_membership->routes.empty()
+                || model.m_membership->routes.front().targets.front().service == "service-" + std::to_string(service);
+            model.m_figures.wrongService += allowed ? 0 : 1;
+        }
+        answer.opens = true;
+        answer.sequence = found->second.sequence;
+        model.schedule(handshakeMillis * slowness,
+            [this, reply = ModelCodec::encode(answer, ModelCodec::requestOf(packet), 0)] { send(reply); });
+        return;
+    }
+    if (attempt && !attempt->open && header.acknowledged == found->second.sequence + 1) {
+        attempt->open = true;
+        attempt->backend = index;
+        attempt->incarnation = incarnation;
+    }
+    if (header.resets) {
+        flows.erase(found);
+        return;
+    }
+    if (header.finishes) {
+        answer.finishes = true;
+        send(ModelCodec::encode(answer, ModelCodec::requestOf(packet), 0));
+        return;
+    }
+    if (header.dataBytes == 0)
+        return;
+    if (found->second.answered)
+        send(found->second.answer);
+    else if (!std::exchange(found->second.asked, true)) {
+        if (running < model.m_options.slots)
+            work(flow, ModelCodec::requestOf(packet));
+        else if (waiting.size() < model.m_options.queue)
+            waiting.emplace_back(flow, ModelCodec::requestOf(packet));
+        else
+            shed(flow, ModelCodec::requestOf(packet));
+    }
+}
+
+// An answer that ends the flow at once says that the request has not run.
+void PacketModel::AgentNode::shed(const flow::PacketFlow& flow, std::uint64_t request)
+{
+    flow::PacketHeader answer;
+    answer.source = flow.route;
+    answer.destination = flow.caller;
+    answer.finishes = true;
+    auto& backendFlow = flows[flow];
+    backendFlow.answered = true;
+    backendFlow.answer = ModelCodec::encode(answer, request, answerBytes);
+    ++model.m_figures.shed;
+    send(backendFlow.answer);
+}
+
+double PacketModel::AgentNode::drawWork()
+{
+    const auto& options = model.m_options;
+    const double base = options.workMillis * (0.5 + model.uniform());
+    return slowness * (model.uniform() < options.tailShare ? base * options.tailFactor : base);
+}
+
+void PacketModel::AgentNode::work(const flow::PacketFlow& flow, std::uint64_t request)
+{
+    ++running;
+    ++ran;
+    ++model.m_runs[request];
+    model.schedule(drawWork(), [this, flow, request, started = incarnation] {
+        if (started != incarnation || !alive)
+            return;
+        --running;
+        if (const auto found = flows.find(flow); found != flows.end()) {
+            flow::PacketHeader answer;
+            answer.source = flow.route;
+            answer.destination = flow.caller;
+            answer.acknowledges = true;
+            found->second.answered = true;
+            found->second.answer = ModelCodec::encode(answer, request, answerBytes);
+            send(found->second.answer);
+        }
+        startWaiting();
+    });
+}
+
+void PacketModel::AgentNode::startWaiting()
+{
+    while (!waiting.empty() && running < model.m_options.slots) {
+        const auto [flow, request] = waiting.front();
+        waiting.pop_front();
+        work(flow, request);
+    }
+}
+
+} // namespace yuccahook::bench
--- a/src/control/QuorumCore.cpp
+++ b/src/control/QuorumCore.cpp
@@ -53,7 +53,7 @@
         noteConfiguration(m_snapshot.index + 1 + offset, m_log[offset]);
     if (m_snapshot.index > 0)
         m_output.restored = m_snapshot;
-    resetElectionTimer();
+    m_electionAtMillis = m_now + m_timings.firstElectionMillis + m_random() % m_timings.firstElectionMillis;
 }
 
 void QuorumCore::receive(const QuorumMessage& received, std::uint64_t nowMillis)
--- a/src/control/QuorumCore.h
+++ b/src/control/QuorumCore.h
@@ -16,6 +16,7 @@
 /// Intervals of the quorum and its bounds.
 struct QuorumTimings {
     std::uint64_t heartbeatMillis = 100;
+    std::uint64_t firstElectionMillis = 150; ///< The same after a start, when all may have started together.
     std::uint64_t electionMillis = 500; ///< An election starts after one to two times this without a leader.
     std::uint64_t contactMillis = 1000; ///< How old a follower's knowledge may be and still count as current.
     std::uint64_t exchangeMillis = 2000; ///< A voter silent for this long gives its place to a waiting instance.
--- a/src/flow/FlowDecision.h
+++ b/src/flow/FlowDecision.h
@@ -13,7 +13,8 @@
     Sent, ///< A balancer gave a new flow to an agent.
     Accepted, ///< An agent gave a new flow to its backend server.
     Passed, ///< An agent passed a new flow on to another.
-    Refused, ///< Not run: no backend server was offered it, or none took it.
+    Refused, ///< Not run: no backend server was offered it, or none took it. Its caller knows at once.
+    Declined, ///< The same for a copy: the flow may be open through another, so its caller hears nothing.
     Reset, ///< An open flow ended because its backend server no longer holds it.
     Searched, ///< Its agent was not known; all agents of the service were asked.
     Found, ///< An agent that held the flow answered.
@@ -58,8 +59,8 @@
 } // namespace yuccahook::flow
 
 template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::FlowVerdict> {
-    static constexpr std::array<std::string_view, 8> names { "sent", "accepted", "passed", "refused", "reset",
-        "searched", "found", "dropped" };
+    static constexpr std::array<std::string_view, 9> names { "sent", "accepted", "passed", "refused", "declined",
+        "reset", "searched", "found", "dropped" };
 };
 
 template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::FlowReason> {
--- a/src/flow/PacketAgent.cpp
+++ b/src/flow/PacketAgent.cpp
@@ -22,7 +22,11 @@
 constexpr std::uint32_t openingWindow = 2; // how far past the answer's sequence its acknowledgement may be
 constexpr std::size_t maximumNotHere = 4096;
 constexpr double workSmoothing = 0.05;
-constexpr double goalShare = 0.8; // of the latency goal that waiting and work may take
+// Shares of the latency goal that waiting and work may take: in a burst, and once slots have been short for a while,
+// when a long queue would make all requests late (PacketModel, loads 0.85 to 2).
+constexpr double burstGoalShare = 0.8;
+constexpr double overloadGoalShare = 0.4;
+constexpr std::uint64_t overloadMillis = 500;
 
 std::uint64_t keyOf(const PacketEndpoint& endpoint) { return std::uint64_t { endpoint.host } << 16 | endpoint.port; }
 
@@ -41,17 +45,19 @@
     , m_codec(codec)
     , m_output(output)
     , m_startMillis(nowMillis)
+    , m_lastFreeMillis(nowMillis)
     , m_membership(std::make_shared<Membership>())
     , m_peers(std::move(domain), seed)
 {
 }
 
-void PacketAgent::setMembership(MembershipPointer membership)
+void PacketAgent::setMembership(MembershipPointer membership, std::uint64_t nowMillis)
 {
     m_membership = std::move(membership);
     m_peers.setMembership(*m_membership);
     const auto* self = m_peers.at(m_trunk);
     m_member = self ? self->member : 0;
+    releaseHeld(nowMillis);
 }
 
 ReportStatus PacketAgent::takeReport(const BackendReport& report, std::uint64_t nowMillis)
@@ -59,6 +65,7 @@
     const ReportStatus status = m_backend.take(report, nowMillis);
     if (status == ReportStatus::NewIncarnation)
         m_notHere.clear();
+    releaseHeld(nowMillis);
     tellLoad(nowMillis);
     return status;
 }
@@ -85,6 +92,20 @@
 
 // New flows.
 
+// A new agent has heard nothing yet of a backend server that may be well.
+bool PacketAgent::isStarting(std::uint64_t nowMillis) const
+{
+    const bool knowsAll = m_backend.report() && m_membership->revision != 0;
+    return !knowsAll && nowMillis - m_startMillis < startMillis;
+}
+
+void PacketAgent::releaseHeld(std::uint64_t nowMillis)
+{
+    if (isStarting(nowMillis))
+        return;
+    m_held.release(nowMillis, [this, nowMillis](PacketBytes datagram) { takeFromTrunk({}, datagram, nowMillis); });
+}
+
 // Why the backend server may take no new flow of a service, whatever its load.
 std::optional<FlowReason> PacketAgent::obstacle(std::uint32_t service, std::uint64_t nowMillis) const
 {
@@ -108,14 +129,22 @@
     return std::nullopt;
 }
 
+void PacketAgent::noteFree(std::uint64_t nowMillis)
+{
+    if (m_backend.report() && m_flows.busy() < m_backend.report()->slots)
+        m_lastFreeMillis = nowMillis;
+}
+
 // Whether a request that waits behind the others is answered within the goal.
-bool PacketAgent::meetsGoal(std::uint32_t goalMillis) const
+bool PacketAgent::meetsGoal(std::uint32_t goalMillis, std::uint64_t nowMillis) const
 {
     const std::uint32_t slots = std::max<std::uint32_t>(m_backend.report()->slots, 1);
     const std::uint32_t waiting = m_flows.busy() + 1 - std::min(m_flows.busy() + 1, slots);
     if (m_workMillis == 0 || goalMillis == 0)
         return waiting <= slots;
-    return waiting * m_workMillis / slots + m_workMillis <= goalMillis * goalShare;
+    const bool overloaded = nowMillis - m_lastFreeMillis > overloadMillis;
+    const double share = overloaded ? overloadGoalShare : burstGoalShare;
+    return waiting * m_workMillis / slots + m_workMillis <= goalMillis * share;
 }
 
 const AgentDirectory::Agent* PacketAgent::nextPeer(const PacketEnvelope& envelope, std::uint64_t nowMillis)
@@ -138,11 +167,12 @@
         return;
     }
     if (const auto reason = obstacle(envelope.service, nowMillis)) {
-        // A new agent has heard nothing of a backend server that may be well; the caller sends a copy soon.
-        const bool isStarting = reason == FlowReason::NoBackend && nowMillis - m_startMillis < startMillis;
-        if (isStarting && !nextPeer(envelope, nowMillis))
-            decide(FlowVerdict::Dropped, *reason, flow);
-        else
+        const auto* peer = nextPeer(envelope, nowMillis);
+        const bool peerTakes = peer && AgentDirectory::isHeard(*peer, nowMillis) && peer->load.accepts;
+        const bool holds = isStarting(nowMillis) && !m_draining && !peerTakes;
+        PacketEnvelope held = envelope;
+        held.quiet = true;
+        if (!holds || !m_held.add(flow, header, encodePacket(held, packet), nowMillis))
             passOnOrRefuse(envelope, packet, header, *reason, nowMillis);
         return;
     }
@@ -150,6 +180,7 @@
         passOnOrRefuse(envelope, packet, header, FlowReason::TableFull, nowMillis);
         return;
     }
+    noteFree(nowMillis);
     if (load(nowMillis).free() > 0) {
         accept(envelope, packet, flow, nowMillis);
         return;
@@ -161,12 +192,11 @@
         passOn(envelope, packet, flow, FlowReason::SlotsTaken, peer);
         return;
     }
-    if (meetsGoal(envelope.goalMillis)) {
+    if (meetsGoal(envelope.goalMillis, nowMillis)) {
         accept(envelope, packet, flow, nowMillis);
         return;
     }
-    m_output.toCaller(flow.caller.host, m_codec.reset(flow, header.acknowledged));
-    decide(FlowVerdict::Refused, FlowReason::GoalOutOfReach, flow, {}, nowMillis - m_backend.heardMillis());
+    refuse(envelope, header, FlowReason::GoalOutOfReach, nowMillis);
 }
 
 void PacketAgent::accept(
@@ -201,6 +231,16 @@
     return true;
 }
 
+void PacketAgent::refuse(
+    const PacketEnvelope& envelope, const PacketHeader& header, FlowReason reason, std::uint64_t nowMillis)
+{
+    const PacketFlow flow = header.fromCaller();
+    if (!envelope.quiet)
+        m_output.toCaller(flow.caller.host, m_codec.reset(flow, header.acknowledged));
+    const auto verdict = envelope.quiet ? FlowVerdict::Declined : FlowVerdict::Refused;
+    decide(verdict, reason, flow, {}, nowMillis - m_backend.heardMillis());
+}
+
 void PacketAgent::passOnOrRefuse(const PacketEnvelope& envelope, PacketBytes packet, const PacketHeader& header,
     FlowReason reason, std::uint64_t nowMillis)
 {
@@ -216,8 +256,7 @@
         decide(FlowVerdict::Passed, reason, flow, envelope.origin);
         return;
     }
-    m_output.toCaller(flow.caller.host, m_codec.reset(flow, header.acknowledged));
-    decide(FlowVerdict::Refused, reason, flow, {}, nowMillis - m_backend.heardMillis());
+    refuse(envelope, header, reason, nowMillis);
 }
 
 // An opening packet without an answer has not run; another agent gets a copy. Should the answer come late, the caller
@@ -234,9 +273,11 @@
         entry->opening.clear();
         m_flows.setBusy(*entry, false);
         m_silentUntilMillis = nowMillis + silentMillis;
-        const auto read = decodePacket(opening);
-        const auto header = read ? m_codec.decode(read->packet) : std::nullopt;
-        if (header)
+        auto read = decodePacket(opening);
+        if (!read)
+            continue;
+        read->envelope.quiet = true;
+        if (m_codec.decode(read->packet))
             passOn(read->envelope, read->packet, flow, FlowReason::BackendSilent, nextPeer(read->envelope, nowMillis));
     }
 }
@@ -524,6 +565,8 @@
 void PacketAgent::tick(std::uint64_t nowMillis)
 {
     passOnUnanswered(nowMillis);
+    noteFree(nowMillis);
+    releaseHeld(nowMillis);
     if (nowMillis - m_expiredMillis >= expireMillis)
         expire(nowMillis);
     if (nowMillis - m_subscribedMillis >= subscribeMillis) {
--- a/src/flow/PacketAgent.h
+++ b/src/flow/PacketAgent.h
@@ -2,6 +2,7 @@
 
 #include "flow/AgentDirectory.h"
 #include "flow/Backend.h"
+#include "flow/HeldPackets.h"
 #include "flow/PacketFlowTable.h"
 #include "flow/PacketOutput.h"
 
@@ -28,7 +29,7 @@
     PacketAgent(std::string domain, PacketEndpoint trunk, std::uint64_t seed, PacketAgentLimits limits,
         const PacketCodec& codec, PacketOutput& output, std::uint64_t nowMillis);
 
-    void setMembership(MembershipPointer membership);
+    void setMembership(MembershipPointer membership, std::uint64_t nowMillis);
 
     /// What the backend server says of itself.
     ReportStatus takeReport(const BackendReport& report, std::uint64_t nowMillis);
@@ -61,11 +62,15 @@
     void accept(const PacketEnvelope& envelope, PacketBytes packet, const PacketFlow& flow, std::uint64_t nowMillis);
     bool passOn(PacketEnvelope envelope, PacketBytes packet, const PacketFlow& flow, FlowReason reason,
         const AgentDirectory::Agent* peer);
+    void refuse(const PacketEnvelope& envelope, const PacketHeader& header, FlowReason reason, std::uint64_t nowMillis);
     void passOnOrRefuse(const PacketEnvelope& envelope, PacketBytes packet, const PacketHeader& header,
         FlowReason reason, std::uint64_t nowMillis);
     void passOnUnanswered(std::uint64_t nowMillis);
+    bool isStarting(std::uint64_t nowMillis) const;
+    void releaseHeld(std::uint64_t nowMillis);
     std::optional<FlowReason> obstacle(std::uint32_t service, std::uint64_t nowMillis) const;
-    bool meetsGoal(std::uint32_t goalMillis) const;
+    bool meetsGoal(std::uint32_t goalMillis, std::uint64_t nowMillis) const;
+    void noteFree(std::uint64_t nowMillis);
     const AgentDirectory::Agent* nextPeer(const PacketEnvelope& envelope, std::uint64_t nowMillis);
 
     // Flows under way.
@@ -95,11 +100,13 @@
     const PacketCodec& m_codec;
     PacketOutput& m_output;
     const std::uint64_t m_startMillis;
+    std::uint64_t m_lastFreeMillis; // when a slot was free
     MembershipPointer m_membership;
     std::uint32_t m_member = 0; // 0 before it has joined
     AgentDirectory m_peers;
     Backend m_backend;
     PacketFlowTable m_flows;
+    HeldPackets m_held; // opening packets, until the backend server and the membership are known
     std::unordered_set<PacketFlow> m_notHere; // flows that the backend server gave back
     std::deque<std::pair<std::uint64_t, PacketFlow>> m_offered; // by deadline
     std::unordered_map<std::uint64_t, Subscriber> m_subscribers; // by address
--- a/src/flow/PacketBalancer.cpp
+++ b/src/flow/PacketBalancer.cpp
@@ -8,6 +8,8 @@
 
 // Within it a missing route is known to be missing: several polls of the control instances.
 constexpr std::uint64_t freshMillis = 1500;
+constexpr std::uint64_t subscribeMillis = 500;
+constexpr std::uint64_t loadsMillis = 50; // many round trips between failure domains of a region
 constexpr std::uint64_t cacheAgeMillis = 20'000; // above the usual idle limit of a flow
 
 } // namespace
@@ -21,7 +23,7 @@
 {
 }
 
-void PacketBalancer::setMembership(MembershipPointer membership)
+void PacketBalancer::setMembership(MembershipPointer membership, std::uint64_t nowMillis)
 {
     m_membership = std::move(membership);
     m_agents.setMembership(*m_membership);
@@ -29,14 +31,41 @@
         if (!agent.heardMillis)
             m_output.toTrunk(agent.trunk, encodeSubscribe(m_domain));
     }
+    if (m_membership->routeVersion != 0 && m_routesMillis == 0)
+        m_routesMillis = nowMillis;
+    releaseHeld(nowMillis);
+}
+
+// Without routes nothing can be sent, and without loads what has waited would fall on a few agents at once.
+bool PacketBalancer::isStarting(std::uint64_t nowMillis) const
+{
+    if (m_routesMillis == 0)
+        return true;
+    if (nowMillis - m_routesMillis > loadsMillis)
+        return false;
+    const auto& agents = m_agents.agents();
+    const auto heard = std::count_if(
+        agents.begin(), agents.end(), [](const AgentDirectory::Agent& agent) { return agent.heardMillis.has_value(); });
+    return 2 * static_cast<std::size_t>(heard) < agents.size();
+}
+
+void PacketBalancer::releaseHeld(std::uint64_t nowMillis)
+{
+    if (m_held.size() > 0 && !isStarting(nowMillis))
+        m_held.release(nowMillis, [this, nowMillis](PacketBytes packet) { take(packet, true, nowMillis); });
 }
 
 void PacketBalancer::tick(std::uint64_t nowMillis, std::uint64_t stalenessMillis)
 {
     m_stalenessMillis = stalenessMillis;
-    const auto subscribe = encodeSubscribe(m_domain);
-    for (const auto& agent : m_agents.agents())
-        m_output.toTrunk(agent.trunk, subscribe);
+    releaseHeld(nowMillis);
+    m_held.expire(nowMillis);
+    if (nowMillis - m_subscribedMillis >= subscribeMillis) {
+        m_subscribedMillis = nowMillis;
+        const auto subscribe = encodeSubscribe(m_domain);
+        for (const auto& agent : m_agents.agents())
+            m_output.toTrunk(agent.trunk, subscribe);
+    }
     if (nowMillis - m_agedMillis < cacheAgeMillis)
         return;
     m_agedMillis = nowMillis;
@@ -53,14 +82,20 @@
     m_output.decided(decision);
 }
 
-void PacketBalancer::refuse(const PacketHeader& header, FlowReason reason)
+void PacketBalancer::refuse(const PacketHeader& header, bool quiet, FlowReason reason)
 {
     const PacketFlow flow = header.fromCaller();
+    if (quiet) {
+        note(FlowVerdict::Declined, reason, flow);
+        return;
+    }
     m_output.toCaller(flow.caller.host, m_codec.reset(flow, header.acknowledged));
     note(FlowVerdict::Refused, reason, flow);
 }
 
-void PacketBalancer::takeFromCaller(PacketBytes packet, std::uint64_t nowMillis)
+void PacketBalancer::takeFromCaller(PacketBytes packet, std::uint64_t nowMillis) { take(packet, false, nowMillis); }
+
+void PacketBalancer::take(PacketBytes packet, bool wasHeld, std::uint64_t nowMillis)
 {
     const auto header = m_codec.decode(packet);
     if (!header) {
@@ -72,8 +107,13 @@
         note(FlowVerdict::Dropped, FlowReason::Forged, flow);
         return;
     }
+    if (!wasHeld && isStarting(nowMillis)) {
+        if (!m_held.add(flow, *header, packet, nowMillis))
+            note(FlowVerdict::Dropped, FlowReason::RoutesStale, flow);
+        return;
+    }
     if (header->opens) {
-        takeOpening(packet, *header, nowMillis);
+        takeOpening(packet, *header, wasHeld, nowMillis);
         return;
     }
     if (const auto* placed = m_cache.find(flow))
@@ -101,18 +141,20 @@
     return 0;
 }
 
-void PacketBalancer::takeOpening(PacketBytes packet, const PacketHeader& header, std::uint64_t nowMillis)
+void PacketBalancer::takeOpening(PacketBytes packet, const PacketHeader& header, bool wasHeld, std::uint64_t nowMillis)
 {
     const PacketFlow flow = header.fromCaller();
+    const bool quiet = wasHeld || header.copy > 0;
     const auto* route = m_membership->route(flow.route.address());
     if (!route) {
         if (m_stalenessMillis <= freshMillis)
-            refuse(header, FlowReason::NoRoute);
+            refuse(header, quiet, FlowReason::NoRoute);
         else
             note(FlowVerdict::Dropped, FlowReason::RoutesStale, flow);
         return;
     }
     PacketEnvelope envelope;
+    envelope.quiet = quiet;
     envelope.service = serviceOf(*route, flow);
     envelope.goalMillis = static_cast<std::uint16_t>(std::min<std::uint32_t>(route->latencyGoalMillis, UINT16_MAX));
     const auto* placed = m_cache.find(flow);
@@ -137,7 +179,7 @@
 {
     const auto* agent = m_agents.choose(envelope.service, envelope.tried, nowMillis);
     if (!agent) {
-        refuse(header, FlowReason::NoAgent);
+        refuse(header, envelope.quiet, FlowReason::NoAgent);
         return;
     }
     const PacketEndpoint trunk = agent->trunk;
@@ -179,6 +221,7 @@
     case EnvelopeKind::Load:
         if (const auto load = decodeLoad(datagram))
             m_agents.report(source, *load, nowMillis);
+        releaseHeld(nowMillis);
         break;
     case EnvelopeKind::Holder:
         if (const auto flow = decodeHolder(datagram))
@@ -206,7 +249,7 @@
         envelope.tried.push_back(agent->member);
     }
     if (envelope.tried.size() > PacketEnvelope::maximumHops)
-        refuse(*header, FlowReason::NoAgent);
+        refuse(*header, envelope.quiet, FlowReason::NoAgent);
     else
         send(declined->packet, *header, envelope, FlowReason::OtherService, nowMillis);
 }
--- a/src/flow/PacketEnvelope.cpp
+++ b/src/flow/PacketEnvelope.cpp
@@ -8,6 +8,7 @@
 constexpr std::size_t originBytes = 6;
 constexpr std::size_t triedBytes = 4;
 constexpr std::uint8_t hasOrigin = 0x80; // in the byte of hops
+constexpr std::uint8_t isQuiet = 0x40;
 
 /// Writes big-endian fields one after the other.
 template <typename Buffer> class Writer {
@@ -76,7 +77,8 @@
         shortBytes + (originSet ? originBytes : 0) + envelope.tried.size() * triedBytes + packet.size());
     Writer writer(bytes);
     writer.put(static_cast<std::uint8_t>(envelope.kind));
-    writer.put(static_cast<std::uint8_t>(envelope.tried.size() | (originSet ? hasOrigin : 0)));
+    writer.put(static_cast<std::uint8_t>(
+        envelope.tried.size() | (originSet ? hasOrigin : 0) | (envelope.quiet ? isQuiet : 0)));
     writer.put(envelope.goalMillis);
     writer.put(envelope.service);
     if (originSet)
@@ -95,11 +97,12 @@
     EnvelopedPacket read;
     read.envelope.kind = static_cast<EnvelopeKind>(reader.take<std::uint8_t>());
     const auto hops = reader.take<std::uint8_t>();
-    const std::size_t tried = hops & ~hasOrigin;
+    const std::size_t tried = hops & ~(hasOrigin | isQuiet);
     const bool originSet = (hops & hasOrigin) != 0;
     const std::size_t more = (originSet ? originBytes : 0) + tried * triedBytes;
     if (tried > PacketEnvelope::maximumHops || datagram.size() < shortBytes + more)
         return std::nullopt;
+    read.envelope.quiet = (hops & isQuiet) != 0;
     read.envelope.goalMillis = reader.take<std::uint16_t>();
     read.envelope.service = reader.take<std::uint32_t>();
     if (originSet)
--- a/src/flow/PacketEnvelope.h
+++ b/src/flow/PacketEnvelope.h
@@ -28,6 +28,7 @@
     std::uint32_t service = 0;
     PacketEndpoint origin; ///< The balancer that took the packet; the datagram's sender when not set.
     std::vector<std::uint32_t> tried; ///< Members that did not take the packet.
+    bool quiet = false; ///< Another copy may have opened the flow elsewhere, so a refusal must not reset it.
 };
 
 /// Flows that an agent's backend server may still take.
--- a/src/roles/AgentPackets.cpp
+++ b/src/roles/AgentPackets.cpp
@@ -35,7 +35,7 @@
     , m_loop("agent-packets")
 {
     client.onMembership([this](const flow::MembershipPointer& membership) {
-        m_loop.post([this, membership] { m_core.setMembership(membership); });
+        m_loop.post([this, membership] { m_core.setMembership(membership, net::PacketLoop::nowMillis()); });
     });
 }
 
--- a/src/roles/BalancerPackets.cpp
+++ b/src/roles/BalancerPackets.cpp
@@ -22,7 +22,7 @@
     , m_loop("balancer-packets")
 {
     client.onMembership([this](const flow::MembershipPointer& membership) {
-        m_loop.post([this, membership] { m_core.setMembership(membership); });
+        m_loop.post([this, membership] { m_core.setMembership(membership, net::PacketLoop::nowMillis()); });
     });
 }
 
