End the reservation of an opening that its caller does not use; drop openings after a pause

Change: a reservation ends after 150 ms; a process that stood still for over 800 ms drops the openings that it reads in the next 50 ms.

Ruled out: a leak of busy flows (counts fell with each answer).

--- a/bench/PacketModel.h
+++ b/bench/PacketModel.h
@@ -78,6 +78,7 @@
     // What may happen, to be called from `at`.
     void crashBackend(std::size_t index, double forSeconds); ///< Silent; comes back as another incarnation.
     void slowBackend(std::size_t index, double factor, double forSeconds);
+    void freezeBalancer(std::size_t index, double forSeconds); ///< Its packets wait; routers leave it after 1 s.
     void freezeAgent(std::size_t index, double forSeconds); ///< With its backend server.
     void restartAgent(std::size_t index, double downSeconds); ///< Its backend server lives.
     void stopAgent(std::size_t index, double downSeconds); ///< A planned stop before.
--- a/bench/PacketModelNodes.cpp
+++ b/bench/PacketModelNodes.cpp
@@ -109,7 +109,8 @@
 {
     if (!core)
         return;
-    core->tick(model.nowMillis(), 0);
+    if (model.m_now >= frozenUntil)
+        core->tick(model.nowMillis(), 0);
     model.schedule(flow::PacketBalancer::tickMillis, [this, running = core.get()] {
         if (core.get() == running)
             tick();
--- a/bench/PacketModelNodes.h
+++ b/bench/PacketModelNodes.h
@@ -66,6 +66,9 @@
     flow::PacketEndpoint trunk;
     std::unique_ptr<flow::PacketBalancer> core; // null while down
     bool knowsRoutes = true;
+    double frozenSince = 0;
+    double frozenUntil = 0;
+    std::vector<std::vector<std::uint8_t>> piledUp;
 };
 
 /// An agent and its backend server.
--- a/src/flow/FlowDecision.h
+++ b/src/flow/FlowDecision.h
@@ -40,6 +40,7 @@
     AgentSilent, ///< The agent before did not answer.
     UnknownFlow,
     TableFull,
+    Paused, ///< This process has stood still; the packet may be old.
     Malformed,
     Forged ///< A packet that its sender's end never writes.
 };
@@ -64,8 +65,8 @@
 };
 
 template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::FlowReason> {
-    static constexpr std::array<std::string_view, 19> names { "none", "no-route", "routes-stale", "no-agent",
+    static constexpr std::array<std::string_view, 20> names { "none", "no-route", "routes-stale", "no-agent",
         "no-backend", "backend-overdue", "backend-silent", "backend-draining", "backend-replaced", "backend-forgot",
         "stopping", "other-service", "slots-taken", "goal-out-of-reach", "agent-silent", "unknown-flow", "table-full",
-        "malformed", "forged" };
+        "paused", "malformed", "forged" };
 };
--- a/src/flow/PacketAgent.cpp
+++ b/src/flow/PacketAgent.cpp
@@ -9,7 +9,7 @@
 constexpr std::uint64_t answerMillis = 60; // many times what a backend server takes to answer an opening packet
 constexpr std::uint64_t silentMillis = 300; // how long an unanswered one keeps new flows away
 constexpr std::uint64_t startMillis = 2000; // until the backend server has reported to a new agent
-constexpr std::uint64_t requestMillis = 1500; // a flow without a request by then holds no slot
+constexpr std::uint64_t reservationMillis = 150; // a caller that opens a flow does so within a few round trips
 constexpr std::uint64_t halfOpenMillis = 5000; // above a caller's last copy of an opening packet
 constexpr std::uint64_t finishedMillis = 5000; // for late copies of the last packets
 constexpr std::uint64_t expireMillis = 1000;
@@ -211,6 +211,7 @@
     m_flows.setBusy(entry, true);
     m_notHere.erase(flow);
     m_offered.emplace_back(nowMillis + answerMillis, flow);
+    m_reserved.emplace_back(nowMillis + reservationMillis, flow);
     m_output.toBackend(packet);
     if (!envelope.tried.empty())
         m_output.toTrunk(envelope.origin, encodeHolder(flow));
@@ -282,12 +283,24 @@
     }
 }
 
+// The caller may have given up, or opened the flow elsewhere; should it come yet, its request counts again.
+void PacketAgent::endReservations(std::uint64_t nowMillis)
+{
+    while (!m_reserved.empty() && m_reserved.front().first <= nowMillis) {
+        auto* entry = m_flows.find(m_reserved.front().second);
+        m_reserved.pop_front();
+        if (entry && entry->requestMillis == 0)
+            m_flows.setBusy(*entry, false);
+    }
+}
+
 // Flows under way.
 
 void PacketAgent::takeFromTrunk(const PacketEndpoint& source, PacketBytes datagram, std::uint64_t nowMillis)
 {
     if (datagram.empty())
         return;
+    m_pauses.note(nowMillis);
     const EnvelopeKind kind = kindOf(datagram);
     if (kind == EnvelopeKind::Load) {
         if (const auto told = decodeLoad(datagram))
@@ -307,7 +320,9 @@
     }
     if (read->envelope.origin.port == 0)
         read->envelope.origin = source;
-    if (header->opens)
+    if (header->opens && m_pauses.isWaking(nowMillis))
+        decide(FlowVerdict::Dropped, FlowReason::Paused, header->fromCaller(), source);
+    else if (header->opens)
         takeOpening(read->envelope, read->packet, *header, nowMillis);
     else
         takeUnderWay(read->envelope, read->packet, *header, nowMillis);
@@ -546,10 +561,8 @@
     m_expiredMillis = nowMillis;
     std::erase_if(m_subscribers,
         [nowMillis](const auto& entry) { return nowMillis - entry.second.heardMillis > subscriberMillis; });
-    m_flows.forEach([this, nowMillis](PacketFlowEntry& entry) {
-        const bool withoutRequest
-            = entry.busy && entry.requestMillis == 0 && nowMillis - entry.offeredMillis > requestMillis;
-        if (withoutRequest || entry.incarnation != m_backend.incarnation())
+    m_flows.forEach([this](PacketFlowEntry& entry) {
+        if (entry.incarnation != m_backend.incarnation())
             m_flows.setBusy(entry, false);
     });
     m_flows.eraseIf([this, nowMillis](const PacketFlowEntry& entry) {
@@ -564,7 +577,9 @@
 
 void PacketAgent::tick(std::uint64_t nowMillis)
 {
+    m_pauses.note(nowMillis);
     passOnUnanswered(nowMillis);
+    endReservations(nowMillis);
     noteFree(nowMillis);
     releaseHeld(nowMillis);
     if (nowMillis - m_expiredMillis >= expireMillis)
--- a/src/flow/PacketAgent.h
+++ b/src/flow/PacketAgent.h
@@ -5,6 +5,7 @@
 #include "flow/HeldPackets.h"
 #include "flow/PacketFlowTable.h"
 #include "flow/PacketOutput.h"
+#include "flow/PauseDetector.h"
 
 #include <cstdint>
 #include <deque>
@@ -66,6 +67,7 @@
     void passOnOrRefuse(const PacketEnvelope& envelope, PacketBytes packet, const PacketHeader& header,
         FlowReason reason, std::uint64_t nowMillis);
     void passOnUnanswered(std::uint64_t nowMillis);
+    void endReservations(std::uint64_t nowMillis);
     bool isStarting(std::uint64_t nowMillis) const;
     void releaseHeld(std::uint64_t nowMillis);
     std::optional<FlowReason> obstacle(std::uint32_t service, std::uint64_t nowMillis) const;
@@ -109,6 +111,8 @@
     HeldPackets m_held; // opening packets, until the backend server and the membership are known
     std::unordered_set<PacketFlow> m_notHere; // flows that the backend server gave back
     std::deque<std::pair<std::uint64_t, PacketFlow>> m_offered; // by deadline
+    std::deque<std::pair<std::uint64_t, PacketFlow>> m_reserved; // the same, for the slots that they hold
+    PauseDetector m_pauses;
     std::unordered_map<std::uint64_t, Subscriber> m_subscribers; // by address
     std::uint64_t m_silentUntilMillis = 0;
     std::uint64_t m_expiredMillis = 0;
--- a/src/flow/PacketBalancer.cpp
+++ b/src/flow/PacketBalancer.cpp
@@ -58,6 +58,7 @@
 void PacketBalancer::tick(std::uint64_t nowMillis, std::uint64_t stalenessMillis)
 {
     m_stalenessMillis = stalenessMillis;
+    m_pauses.note(nowMillis);
     releaseHeld(nowMillis);
     m_held.expire(nowMillis);
     if (nowMillis - m_subscribedMillis >= subscribeMillis) {
@@ -97,6 +98,7 @@
 
 void PacketBalancer::take(PacketBytes packet, bool wasHeld, std::uint64_t nowMillis)
 {
+    m_pauses.note(nowMillis);
     const auto header = m_codec.decode(packet);
     if (!header) {
         note(FlowVerdict::Dropped, FlowReason::Malformed, {});
@@ -107,6 +109,10 @@
         note(FlowVerdict::Dropped, FlowReason::Forged, flow);
         return;
     }
+    if (header->opens && m_pauses.isWaking(nowMillis)) {
+        note(FlowVerdict::Dropped, FlowReason::Paused, flow);
+        return;
+    }
     if (!wasHeld && isStarting(nowMillis)) {
         if (!m_held.add(flow, *header, packet, nowMillis))
             note(FlowVerdict::Dropped, FlowReason::RoutesStale, flow);
--- a/src/flow/PacketBalancer.h
+++ b/src/flow/PacketBalancer.h
@@ -3,6 +3,7 @@
 #include "flow/AgentDirectory.h"
 #include "flow/HeldPackets.h"
 #include "flow/PacketOutput.h"
+#include "flow/PauseDetector.h"
 #include "flow/PlacementCache.h"
 
 #include <cstdint>
@@ -46,6 +47,7 @@
     MembershipPointer m_membership;
     AgentDirectory m_agents;
     PlacementCache m_cache;
+    PauseDetector m_pauses;
     HeldPackets m_held; // until the first routes and loads are known
     std::uint64_t m_stalenessMillis = 0;
     std::uint64_t m_agedMillis = 0;
