Estimate the work of requests from twenty at a time

Cause: after the loss of all machines the first answer, a short one, set the estimate, and an agent with 7 slots took 58 flows. Change: steps of 20 requests, and a quarter of the goal before the first.

--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::size_t queueBound = 1024;
 constexpr auto connectTimeout = 500 * kj::MILLISECONDS;
-constexpr auto retryDelay = 100 * kj::MILLISECONDS;
+constexpr auto retryDelay = 50 * kj::MILLISECONDS; // all start together after a loss of power
 constexpr auto changesTimeout = 1200 * kj::MILLISECONDS; // above the time a control instance holds the call
 constexpr auto announceTimeout = 1 * kj::SECONDS;
 constexpr std::size_t maximumAddresses = 32; // several times the control instances of a site
--- a/src/flow/PacketAgent.cpp
+++ b/src/flow/PacketAgent.cpp
@@ -21,7 +21,9 @@
 constexpr std::uint64_t remoteRepeatMillis = 500;
 constexpr std::uint32_t openingWindow = 2; // how far past the answer's sequence its acknowledgement may be
 constexpr std::size_t maximumNotHere = 4096;
-constexpr double workSmoothing = 0.05;
+constexpr std::uint32_t workSamples = 20; // requests whose mean is one step of the estimate
+constexpr double workSmoothing = 0.5;
+constexpr double firstWorkShare = 0.25; // of the goal, until requests have been measured
 // Shares of the latency goal that waiting and work may take: in a burst, and once slots have been short for a while,
 // when a long queue would make all requests late (PacketModel, loads 0.85 to 2).
 constexpr double burstGoalShare = 0.8;
@@ -140,11 +142,12 @@
 {
     const std::uint32_t slots = std::max<std::uint32_t>(m_backend.report()->slots, 1);
     const std::uint32_t waiting = m_flows.busy() + 1 - std::min(m_flows.busy() + 1, slots);
-    if (m_workMillis == 0 || goalMillis == 0)
+    if (goalMillis == 0)
         return waiting <= slots;
+    const double work = m_workMillis > 0 ? m_workMillis : goalMillis * firstWorkShare;
     const bool overloaded = nowMillis - m_lastFreeMillis > overloadMillis;
     const double share = overloaded ? overloadGoalShare : burstGoalShare;
-    return waiting * m_workMillis / slots + m_workMillis <= goalMillis * share;
+    return waiting * work / slots + work <= goalMillis * share;
 }
 
 const AgentDirectory::Agent* PacketAgent::nextPeer(const PacketEnvelope& envelope, std::uint64_t nowMillis)
@@ -470,8 +473,14 @@
     if (!answers)
         return;
     if (entry->requestMillis != 0 && m_backend.report() && entry->busyBefore < m_backend.report()->slots) {
-        const double took = static_cast<double>(nowMillis - entry->requestMillis);
-        m_workMillis = m_workMillis == 0 ? std::max(took, 1.0) : m_workMillis + (took - m_workMillis) * workSmoothing;
+        m_workSum += static_cast<double>(nowMillis - entry->requestMillis);
+        // One short request says little of the others, so the first few only count together.
+        if (++m_workSamples >= workSamples) {
+            const double mean = std::max(m_workSum / m_workSamples, 1.0);
+            m_workMillis = m_workMillis == 0 ? mean : m_workMillis + (mean - m_workMillis) * workSmoothing;
+            m_workSum = 0;
+            m_workSamples = 0;
+        }
     }
     entry->requestMillis = 0;
     m_flows.setBusy(*entry, false);
--- a/src/flow/PacketAgent.h
+++ b/src/flow/PacketAgent.h
@@ -117,7 +117,9 @@
     std::uint64_t m_silentUntilMillis = 0;
     std::uint64_t m_expiredMillis = 0;
     std::uint64_t m_subscribedMillis = 0;
-    double m_workMillis = 0; // of a request that had a slot at once
+    double m_workMillis = 0; // of a request that had a slot at once; 0 before it is known
+    double m_workSum = 0; // of the requests since the last step
+    std::uint32_t m_workSamples = 0;
     bool m_draining = false;
 };
 
