--- a/src/control/QuorumCore.cpp
+++ b/src/control/QuorumCore.cpp
@@ -424,8 +424,9 @@
     for (const std::uint32_t peer : electorate()) {
         const auto granted = m_granted.find(peer);
         const std::uint64_t disk = granted != m_granted.end() ? granted->second : 0;
-        m_progress[peer] = { disk, 0, lastIndex() + 1, 0, m_now, false };
+        m_progress[peer] = { disk, 0, lastIndex() + 1, 0, disk != 0 ? m_now : 0, false };
     }
+    m_leadsSinceMillis = m_now;
     append({ m_vote.term, EntryKind::TermStart, 0, {}, {} });
     m_termStart = lastIndex();
     m_heartbeatAtMillis = m_now + m_timings.heartbeatMillis;
@@ -690,9 +691,12 @@
         return;
     VoterMap voters = configuration().voters;
     std::optional<std::uint32_t> silent;
+    bool allHeard = true;
     for (const auto& [id, disk] : voters) {
-        if (!isHeard(id, m_timings.exchangeMillis))
+        const bool mayBeLate = m_now - m_leadsSinceMillis <= m_timings.exchangeMillis;
+        if (!mayBeLate && !isHeard(id, m_timings.exchangeMillis))
             silent = id;
+        allHeard = allHeard && isHeard(id, m_timings.electionMillis);
     }
     for (const auto& [id, progress] : m_progress) {
         const bool isReady = progress.disk != 0 && progress.match >= m_commit && progress.match > 0
@@ -700,7 +704,8 @@
         if (!isReady)
             continue;
         if (!voters.contains(id)) {
-            if (!silent && voters.size() >= m_timings.maximumVoters)
+            // While a voter may be gone, one more would only raise the majority.
+            if (!silent && (!allHeard || voters.size() >= m_timings.maximumVoters))
                 continue;
             if (silent)
                 voters.erase(*silent);
@@ -709,7 +714,8 @@
         proposeVoters(std::move(voters));
         return;
     }
-    if (silent && voters.size() > leastVoters && !isHeard(*silent, m_timings.removalMillis)) {
+    const bool ledLong = m_now - m_leadsSinceMillis > m_timings.removalMillis;
+    if (silent && ledLong && voters.size() > leastVoters && !isHeard(*silent, m_timings.removalMillis)) {
         voters.erase(*silent);
         proposeVoters(std::move(voters));
     }
--- a/src/control/QuorumCore.h
+++ b/src/control/QuorumCore.h
@@ -185,6 +185,7 @@
     std::uint64_t m_leaderHeardMillis = 0;
     std::uint64_t m_electionAtMillis = 0;
     std::uint64_t m_heartbeatAtMillis = 0;
+    std::uint64_t m_leadsSinceMillis = 0;
     std::uint64_t m_termStart = 0; // index of the leader's first entry
     VoterMap m_granted; // votes or pre-votes; peers that say they are empty before the bootstrap
     std::map<std::uint32_t, Progress> m_progress;
--- a/src/roles/AgentPackets.cpp
+++ b/src/roles/AgentPackets.cpp
@@ -30,8 +30,8 @@
     , m_openFlows(counters.counter("packet_flows_open"))
     , m_log(counters)
     , m_core(settings.domain, flow::PacketEndpoint::of(m_packetSettings.listen), std::random_device {}(),
-          { m_packetSettings.announceMillis, m_packetSettings.reuseMillis, m_packetSettings.maximumFlowSeconds * 1000 },
-          codec, *this, net::PacketLoop::nowMillis())
+          { m_packetSettings.announceMillis, m_packetSettings.reuseMillis, m_packetSettings.maximumFlowMillis }, codec,
+          *this, net::PacketLoop::nowMillis())
     , m_loop("agent-packets")
 {
     client.onMembership([this](const flow::MembershipPointer& membership) {
--- a/src/settings/ObjectReader.cpp
+++ b/src/settings/ObjectReader.cpp
@@ -73,6 +73,20 @@
     field = value->get<std::uint64_t>();
 }
 
+void ObjectReader::seconds(std::string_view key, std::uint32_t& millis, std::uint32_t maximumMillis)
+{
+    constexpr double millisInSecond = 1000;
+    const std::string allowed = "a time above 0 and up to " + std::to_string(maximumMillis / 1000) + " s";
+    const nlohmann::json* value = expect(key, false, &nlohmann::json::is_number, allowed);
+    if (!value)
+        return;
+    const double read = value->get<double>() * millisInSecond;
+    if (read >= 1 && read <= maximumMillis)
+        millis = static_cast<std::uint32_t>(read);
+    else
+        fault(FaultKind::OutOfRange, key, seenText(*value), allowed);
+}
+
 void ObjectReader::flag(std::string_view key, bool& field)
 {
     if (const auto* value = expect(key, false, &nlohmann::json::is_boolean, "true or false"))
--- a/src/settings/ObjectReader.h
+++ b/src/settings/ObjectReader.h
@@ -29,6 +29,9 @@
     void number(std::string_view key, std::uint64_t& field, std::uint64_t minimum, std::uint64_t maximum,
         bool required = false);
     void flag(std::string_view key, bool& field);
+
+    /// A time in seconds, whole or not, as milliseconds.
+    void seconds(std::string_view key, std::uint32_t& millis, std::uint32_t maximumMillis);
     void address(std::string_view key, net::Address& field, bool required = false);
     void addresses(std::string_view key, std::vector<net::Address>& field, bool required = false);
     void texts(std::string_view key, std::vector<std::string>& field);
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint64_t maximumStreamsBound = 1'000'000;
 constexpr std::uint64_t maximumFlowsBound = 1'000'000;
 constexpr std::uint64_t maximumLeaveSeconds = 86'400;
-constexpr std::uint64_t maximumPacketMillis = 600'000;
+constexpr std::uint32_t maximumPacketMillis = 600'000;
 constexpr std::uint64_t maximumControlInstances = 7;
 
 bool usesSection(Role role, Role section) { return role == section || role == Role::All; }
@@ -41,8 +41,8 @@
         part.address("outbound", packets.outbound, true);
         part.address("backend", packets.backend, true);
         part.integer("announceMillis", packets.announceMillis, 1, maximumPacketMillis);
-        part.integer("reuseMillis", packets.reuseMillis, 1, maximumPacketMillis);
-        part.integer("maximumFlowSeconds", packets.maximumFlowSeconds, 1, maximumLeaveSeconds);
+        part.seconds("reuseSeconds", packets.reuseMillis, maximumPacketMillis);
+        part.seconds("maximumFlowSeconds", packets.maximumFlowMillis, maximumPacketMillis);
     });
     reader.address("trunk", agent.trunk, !agent.packets);
     reader.address("announcedTrunk", agent.announcedTrunk);
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -32,7 +32,7 @@
     net::Address backend; ///< UDP, where the backend server takes packets.
     std::uint32_t announceMillis = 1200; ///< How often the backend server announces itself.
     std::uint32_t reuseMillis = 2000; ///< Its address may belong to another service this long after it is gone.
-    std::uint32_t maximumFlowSeconds = 60; ///< A flow that is older may be forgotten.
+    std::uint32_t maximumFlowMillis = 60'000; ///< A flow that is older may be forgotten.
 };
 
 struct BalancerSettings {
--- /dev/null
+++ b/tests/flow/PacketCasesTest.cpp
@@ -0,0 +1,329 @@
+#include "PacketModelNodes.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace yuccahook;
+using flow::EnvelopeKind;
+using flow::FlowReason;
+using flow::FlowVerdict;
+
+namespace {
+
+constexpr std::uint64_t start = 50'000;
+constexpr flow::PacketEndpoint caller { 0x64400001, 4000 };
+constexpr flow::PacketEndpoint route { 0xc6120001, 443 };
+constexpr flow::PacketEndpoint balancer { 0x0a000001, 7000 };
+
+/// Records what a balancer or an agent sends.
+class Recorder final : public flow::PacketOutput {
+public:
+    void toTrunk(const flow::PacketEndpoint& trunk, flow::PacketBytes datagram) override
+    {
+        const auto kind = flow::kindOf(datagram);
+        if (kind != EnvelopeKind::Load && kind != EnvelopeKind::Subscribe)
+            trunks.emplace_back(trunk, std::vector<std::uint8_t>(datagram.begin(), datagram.end()));
+    }
+    void toCaller(std::uint32_t, flow::PacketBytes packet) override { callers.push_back(read(packet)); }
+    void toBackend(flow::PacketBytes packet) override { backends.push_back(read(packet)); }
+    void decided(const flow::FlowDecision& decision) override { decisions.push_back(decision); }
+
+    static flow::PacketHeader read(flow::PacketBytes packet) { return *bench::modelCodec().decode(packet); }
+
+    std::vector<std::pair<flow::PacketEndpoint, std::vector<std::uint8_t>>> trunks;
+    std::vector<flow::PacketHeader> callers;
+    std::vector<flow::PacketHeader> backends;
+    std::vector<flow::FlowDecision> decisions;
+};
+
+flow::MembershipPointer siteOf(std::uint32_t agents)
+{
+    auto membership = std::make_shared<flow::Membership>();
+    membership->revision = 5;
+    membership->routeVersion = 1;
+    flow::ServiceSpec service;
+    service.id = 1;
+    service.name = "listings";
+    service.protocol = flow::Protocol::Packet;
+    membership->services = { service };
+    flow::PacketRoute open;
+    open.address = route.address();
+    open.targets = { { "listings", 1 } };
+    open.latencyGoalMillis = 250;
+    membership->routes = { open };
+    for (std::uint32_t id = 1; id <= agents; ++id) {
+        flow::Member member;
+        member.id = id;
+        member.service = 1;
+        member.trunk = flow::PacketEndpoint { id, 7001 }.address();
+        member.domain = "coban";
+        membership->members.push_back(member);
+    }
+    return membership;
+}
+
+flow::BackendReport reportOf(std::uint64_t started, std::uint64_t sequence)
+{
+    flow::BackendReport report;
+    report.id = "b";
+    report.startedMillis = started;
+    report.sequence = sequence;
+    report.service = "listings";
+    report.slots = 2;
+    return report;
+}
+
+std::vector<std::uint8_t> openingPacket(std::uint32_t copy = 0)
+{
+    flow::PacketHeader header;
+    header.source = caller;
+    header.destination = route;
+    header.opens = true;
+    header.copy = copy;
+    return bench::ModelCodec::encode(header, 1, 0);
+}
+
+std::vector<std::uint8_t> callerPacket(std::uint32_t acknowledged, std::size_t bytes = 0)
+{
+    flow::PacketHeader header;
+    header.source = caller;
+    header.destination = route;
+    header.acknowledges = true;
+    header.acknowledged = acknowledged;
+    return bench::ModelCodec::encode(header, 1, bytes);
+}
+
+std::vector<std::uint8_t> answerPacket(std::uint32_t sequence)
+{
+    flow::PacketHeader header;
+    header.source = route;
+    header.destination = caller;
+    header.opens = true;
+    header.acknowledges = true;
+    header.sequence = sequence;
+    return bench::ModelCodec::encode(header, 1, 0);
+}
+
+std::vector<std::uint8_t> direct(const std::vector<std::uint8_t>& packet, EnvelopeKind kind = EnvelopeKind::Direct)
+{
+    flow::PacketEnvelope envelope;
+    envelope.kind = kind;
+    envelope.service = 1;
+    envelope.goalMillis = 250;
+    return encodePacket(envelope, packet);
+}
+
+} // namespace
+
+TEST_CASE("An agent takes a flow for its backend server")
+{
+    Recorder sent;
+    flow::PacketAgent agent("coban", { 1, 7001 }, 1, {}, bench::modelCodec(), sent, start);
+    agent.setMembership(siteOf(2), start);
+    agent.takeReport(reportOf(100, 1), start);
+    agent.takeFromTrunk(balancer, direct(openingPacket()), start);
+    REQUIRE(sent.backends.size() == 1);
+    CHECK(agent.busy() == 1);
+
+    SUBCASE("and passes it on when there is no answer; a late one still opens it here")
+    {
+        agent.tick(start + 100);
+        REQUIRE(sent.trunks.size() == 1);
+        CHECK(sent.trunks[0].first == flow::PacketEndpoint { 2, 7001 });
+        CHECK(sent.decisions.back().reason == FlowReason::BackendSilent);
+        agent.takeFromBackend(answerPacket(900), start + 110);
+        agent.takeFromTrunk(balancer, direct(callerPacket(901)), start + 120);
+        CHECK(sent.backends.size() == 2);
+    }
+
+    SUBCASE("a packet that acknowledges another's answer is not its own")
+    {
+        agent.takeFromBackend(answerPacket(900), start + 1);
+        agent.takeFromTrunk(balancer, direct(callerPacket(5555)), start + 5);
+        CHECK(sent.backends.size() == 1);
+        REQUIRE(sent.trunks.size() == 1);
+        CHECK(flow::kindOf(sent.trunks[0].second) == EnvelopeKind::Find);
+        agent.takeFromTrunk(balancer, direct(callerPacket(901)), start + 6);
+        CHECK(sent.backends.size() == 2);
+    }
+
+    SUBCASE("a slot that the caller does not use is free again soon")
+    {
+        agent.takeFromBackend(answerPacket(900), start + 1);
+        agent.tick(start + 200);
+        CHECK(agent.busy() == 0);
+        agent.takeFromTrunk(balancer, direct(callerPacket(901, 100)), start + 210);
+        CHECK(agent.busy() == 1);
+    }
+
+    SUBCASE("the flow ends with the incarnation that held it")
+    {
+        agent.takeFromBackend(answerPacket(900), start + 1);
+        agent.takeFromTrunk(balancer, direct(callerPacket(901)), start + 2);
+        agent.takeReport(reportOf(200, 1), start + 500);
+        sent.callers.clear();
+        agent.takeFromTrunk(balancer, direct(callerPacket(901, 10)), start + 510);
+        REQUIRE(sent.callers.size() == 1);
+        CHECK(sent.callers[0].resets);
+        CHECK(sent.callers[0].sequence == 901);
+        CHECK(sent.backends.size() == 2); // nothing reached the new incarnation
+    }
+
+    SUBCASE("a half-open flow of the incarnation before is not reset")
+    {
+        agent.takeFromBackend(answerPacket(900), start + 1);
+        sent.callers.clear();
+        agent.takeReport(reportOf(200, 1), start + 500);
+        agent.takeFromTrunk(balancer, direct(callerPacket(5555)), start + 510);
+        CHECK(sent.callers.empty());
+    }
+}
+
+TEST_CASE("An agent refuses only what no other copy can have opened")
+{
+    Recorder sent;
+    flow::PacketAgent agent("coban", { 1, 7001 }, 1, {}, bench::modelCodec(), sent, start);
+    agent.setMembership(siteOf(1), start);
+    auto draining = reportOf(100, 1);
+    draining.draining = true;
+    agent.takeReport(draining, start);
+
+    SUBCASE("the first packet is reset at once")
+    {
+        agent.takeFromTrunk(balancer, direct(openingPacket()), start);
+        REQUIRE(sent.callers.size() == 1);
+        CHECK(sent.callers[0].resets);
+        CHECK(sent.decisions.back().verdict == FlowVerdict::Refused);
+        CHECK(sent.decisions.back().reason == FlowReason::BackendDraining);
+    }
+
+    SUBCASE("a quiet one is declined")
+    {
+        flow::PacketEnvelope envelope;
+        envelope.service = 1;
+        envelope.quiet = true;
+        agent.takeFromTrunk(balancer, encodePacket(envelope, openingPacket(1)), start);
+        CHECK(sent.callers.empty());
+        CHECK(sent.decisions.back().verdict == FlowVerdict::Declined);
+    }
+    CHECK(sent.backends.empty());
+}
+
+TEST_CASE("An agent does not offer flows to a backend server that may be gone or another's")
+{
+    Recorder sent;
+    flow::PacketAgent agent("coban", { 1, 7001 }, 1, {}, bench::modelCodec(), sent, start);
+    agent.setMembership(siteOf(1), start);
+    agent.takeReport(reportOf(100, 1), start);
+
+    SUBCASE("whose reports have stopped, before its address may be used again")
+    {
+        agent.takeFromTrunk(balancer, direct(openingPacket()), start + 1950);
+        CHECK(sent.decisions.back().reason == FlowReason::BackendOverdue);
+    }
+
+    SUBCASE("that serves another service now")
+    {
+        auto other = reportOf(200, 1);
+        other.service = "inspections";
+        agent.takeReport(other, start);
+        agent.takeFromTrunk(balancer, direct(openingPacket()), start + 1);
+        CHECK(sent.decisions.back().reason == FlowReason::OtherService);
+    }
+    CHECK(sent.backends.empty());
+}
+
+TEST_CASE("A restarted agent learns from its backend server which flows it holds")
+{
+    Recorder sent;
+    flow::PacketAgent agent("coban", { 1, 7001 }, 1, {}, bench::modelCodec(), sent, start);
+    agent.setMembership(siteOf(2), start);
+    agent.takeReport(reportOf(100, 40), start);
+    agent.takeFromTrunk(balancer, direct(callerPacket(901), EnvelopeKind::Find), start + 10);
+    REQUIRE(sent.backends.size() == 1);
+
+    SUBCASE("one that answers holds it")
+    {
+        flow::PacketHeader answer;
+        answer.source = route;
+        answer.destination = caller;
+        answer.acknowledges = true;
+        agent.takeFromBackend(bench::ModelCodec::encode(answer, 1, 10), start + 11);
+        REQUIRE(sent.trunks.size() == 1);
+        CHECK(*flow::decodeHolder(sent.trunks[0].second) == flow::PacketFlow { caller, route });
+    }
+
+    SUBCASE("one that gives the packet back is not asked again")
+    {
+        auto bounced = callerPacket(901);
+        bounced[bench::ModelCodec::flagsAt] |= bench::ModelCodec::bounced;
+        agent.takeFromBackend(bounced, start + 11);
+        agent.takeFromTrunk(balancer, direct(callerPacket(901), EnvelopeKind::Find), start + 20);
+        CHECK(sent.backends.size() == 1);
+        CHECK(sent.callers.empty());
+    }
+}
+
+TEST_CASE("A balancer sends packets by what it knows of routes and agents")
+{
+    Recorder sent;
+    flow::PacketBalancer router("coban", 1, bench::modelCodec(), sent);
+    router.takeFromCaller(openingPacket(), start);
+    CHECK(sent.trunks.empty()); // held: no routes are known yet
+    router.setMembership(siteOf(2), start + 100);
+    router.takeFromAgent({ 1, 7001 }, flow::encodeLoad({ true, 2, 1 }), start + 101);
+    router.takeFromAgent({ 2, 7001 }, flow::encodeLoad({ true, 2, 0 }), start + 101);
+    REQUIRE(sent.trunks.size() == 1);
+    sent.trunks.clear();
+
+    SUBCASE("later packets follow the first, until an agent says that it holds the flow")
+    {
+        router.takeFromCaller(callerPacket(901), start + 102);
+        const auto first = sent.trunks.back().first;
+        const flow::PacketEndpoint other { first.host == 1 ? 2U : 1U, 7001 };
+        router.takeFromAgent(other, flow::encodeHolder({ caller, route }), start + 103);
+        router.takeFromCaller(callerPacket(901), start + 104);
+        CHECK(sent.trunks.back().first == other);
+    }
+
+    SUBCASE("a flow that it does not know is asked of all agents of the route")
+    {
+        auto packet = callerPacket(901);
+        packet[8] ^= 1; // another port
+        router.takeFromCaller(packet, start + 102);
+        CHECK(sent.trunks.size() == 2);
+        CHECK(flow::kindOf(sent.trunks[0].second) == EnvelopeKind::Find);
+    }
+
+    SUBCASE("a route that does not exist is refused, but not to a copy and not without contact")
+    {
+        auto gone = std::make_shared<flow::Membership>(*siteOf(2));
+        gone->routes.clear();
+        gone->revision = 6;
+        router.setMembership(gone, start + 200);
+        router.takeFromCaller(openingPacket(1), start + 201);
+        CHECK(sent.callers.empty());
+        router.tick(start + 210, 5000);
+        router.takeFromCaller(openingPacket(), start + 211);
+        CHECK(sent.callers.empty());
+        CHECK(sent.decisions.back().reason == FlowReason::RoutesStale);
+        router.tick(start + 220, 100);
+        router.takeFromCaller(openingPacket(), start + 221);
+        REQUIRE(sent.callers.size() == 1);
+        CHECK(sent.callers[0].resets);
+    }
+
+    SUBCASE("what no caller's end writes is dropped")
+    {
+        flow::PacketHeader forged;
+        forged.source = caller;
+        forged.destination = route;
+        forged.opens = true;
+        forged.acknowledges = true;
+        router.takeFromCaller(bench::ModelCodec::encode(forged, 1, 0), start + 102);
+        CHECK(sent.trunks.empty());
+        CHECK(sent.decisions.back().reason == FlowReason::Forged);
+        router.takeFromCaller(std::vector<std::uint8_t>(7), start + 103);
+        CHECK(sent.decisions.back().reason == FlowReason::Malformed);
+    }
+}
--- /dev/null
+++ b/tests/flow/PacketEnvelopeTest.cpp
@@ -0,0 +1,53 @@
+#include "flow/PacketEnvelope.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace yuccahook::flow;
+
+TEST_CASE("Datagrams between balancers and agents are read as they were written")
+{
+    SUBCASE("a packet and its envelope")
+    {
+        PacketEnvelope envelope;
+        envelope.kind = EnvelopeKind::Find;
+        envelope.goalMillis = 250;
+        envelope.service = 70'000;
+        envelope.origin = { 0x0a010203, 7100 };
+        envelope.tried = { 1, 2, 0xffffffff };
+        envelope.quiet = true;
+        const std::vector<std::uint8_t> packet { 1, 2, 3 };
+        const auto bytes = encodePacket(envelope, packet);
+        const auto read = decodePacket(bytes);
+        REQUIRE(read);
+        CHECK(read->envelope.kind == EnvelopeKind::Find);
+        CHECK(read->envelope.goalMillis == 250);
+        CHECK(read->envelope.service == 70'000);
+        CHECK(read->envelope.origin == envelope.origin);
+        CHECK(read->envelope.tried == envelope.tried);
+        CHECK(read->envelope.quiet);
+        CHECK(std::vector(read->packet.begin(), read->packet.end()) == packet);
+        CHECK(encodePacket({}, packet).size() == 11); // what most packets carry
+    }
+
+    SUBCASE("holders, loads and subscriptions")
+    {
+        const PacketFlow flow { { 1, 2 }, { 3, 4 } };
+        CHECK(*decodeHolder(encodeHolder(flow)) == flow);
+        const AgentLoad load { true, 7, 9 };
+        CHECK(*decodeLoad(encodeLoad(load)) == load);
+        CHECK(load.free() == -2);
+        CHECK(*decodeSubscribe(encodeSubscribe(77)) == 77);
+    }
+
+    SUBCASE("any bytes are read without harm")
+    {
+        rc::check("any bytes", [](const std::vector<std::uint8_t>& bytes) {
+            const auto read = decodePacket(bytes);
+            RC_ASSERT(!read || read->packet.size() <= bytes.size());
+            RC_ASSERT(decodeHolder(bytes).has_value() == (bytes.size() == 13));
+            RC_ASSERT(decodeLoad(bytes).has_value() == (bytes.size() == 6));
+            RC_ASSERT(decodeSubscribe(bytes).has_value() == (bytes.size() == 5));
+        });
+    }
+}
--- /dev/null
+++ b/tests/platform/RouteDocumentTest.cpp
@@ -0,0 +1,103 @@
+#include "platform/RouteDocument.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace yuccahook;
+using nlohmann::json;
+
+namespace {
+
+json goodDocument()
+{
+    return json::parse(R"({"version":7,"routes":[
+        {"name":"r-1","host":"198.18.0.1","pathPrefix":"/8443/","kind":"safe","timeoutMs":1500,"latencyGoalMs":250,
+         "priority":2,"weightedServices":[{"service":"one","weight":90},{"service":"two","weight":10}],"maxAttempts":2},
+        {"name":"r-2","host":"198.18.0.1","pathPrefix":"/8080/","kind":"unsafe","timeoutMs":2000,"latencyGoalMs":300,
+         "priority":1,"service":"one","maxAttempts":2}],
+        "services":[{"name":"one","healthPath":"/health","connectionLimit":2000,"protocol":"h1","tls":false},
+                    {"name":"two"}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+}
+
+bool isValid(const json& document)
+{
+    settings::Faults faults;
+    const bool valid = platform::parseRouteDocument(document.dump(), faults).has_value();
+    CHECK(valid == faults.empty());
+    return valid;
+}
+
+} // namespace
+
+TEST_CASE("The platform's configuration becomes a route table")
+{
+    settings::Faults faults;
+    const auto text = goodDocument().dump();
+    const auto table = platform::parseRouteDocument(text, faults);
+    REQUIRE(table);
+    CHECK(table->version == 7);
+    CHECK(table->document == text);
+    CHECK(table->flowIdleMillis == 15'000);
+    REQUIRE(table->routes.size() == 2);
+    CHECK(table->routes[0].address.text() == "198.18.0.1:8080"); // sorted by address
+    CHECK_FALSE(table->routes[0].idempotent);
+    CHECK(table->routes[1].idempotent);
+    CHECK(table->routes[1].targets.size() == 2);
+    CHECK(table->routes[1].targets[1] == flow::RouteTarget { "two", 10 });
+}
+
+TEST_CASE("A configuration that is not valid as a whole is refused")
+{
+    auto document = goodDocument();
+    auto& route = document["routes"][1];
+
+    SUBCASE("a route to an unknown service") { route["service"] = "three"; }
+    SUBCASE("a route without a service") { route.erase("service"); }
+    SUBCASE("two routes on one host and prefix") { route["pathPrefix"] = "/8443/"; }
+    SUBCASE("no time-out") { route["timeoutMs"] = 0; }
+    SUBCASE("a missing time-out") { route.erase("timeoutMs"); }
+    SUBCASE("no weight") { document["routes"][0]["weightedServices"] = json::array(); }
+    SUBCASE("weights of zero")
+    {
+        for (auto& target : document["routes"][0]["weightedServices"])
+            target["weight"] = 0;
+    }
+    SUBCASE("a negative weight") { document["routes"][0]["weightedServices"][0]["weight"] = -1; }
+    SUBCASE("a host that is no address") { route["host"] = "example"; }
+    SUBCASE("a prefix without slashes") { route["pathPrefix"] = "8080"; }
+    SUBCASE("a port of zero") { route["pathPrefix"] = "/0/"; }
+    SUBCASE("an unknown kind") { route["kind"] = "other"; }
+    SUBCASE("no version") { document.erase("version"); }
+    SUBCASE("a version that is text") { document["version"] = "7"; }
+    SUBCASE("routes that are no list") { document["routes"] = "none"; }
+    SUBCASE("a service twice") { document["services"][1]["name"] = "one"; }
+    CHECK_FALSE(isValid(document));
+}
+
+TEST_CASE("A configuration that can't be read is refused")
+{
+    const auto refuses = [](const std::string& text) {
+        settings::Faults faults;
+        return !platform::parseRouteDocument(text, faults) && !faults.empty();
+    };
+    const auto text = goodDocument().dump();
+    for (std::size_t length = 0; length < text.size(); ++length)
+        CHECK(refuses(text.substr(0, length)));
+    CHECK(refuses(R"({"version":1e999,"routes":[],"services":[]})"));
+    CHECK(refuses(R"({"version":1,"version":2,"routes":[],"services":[]})"));
+    CHECK(refuses(std::string(100'000, '[')));
+    CHECK(refuses("{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"\xff\"}]}"));
+    rc::check("any text", [&refuses](const std::string& any) { RC_ASSERT(refuses(any)); });
+}
+
+TEST_CASE("Fields that a configuration may gain are passed over")
+{
+    auto document = goodDocument();
+    document["later"] = 1;
+    document["routes"][0]["later"] = "x";
+    document["limits"]["later"] = json::object();
+    document["services"][0]["later"] = nullptr;
+    CHECK(isValid(document));
+}
