Log to standard output without waiting for its reader; serve histograms

Each process writes one JSON line for each decision on a flow within a budget, each membership, leader, lease, route table and contact; a full pipe drops lines and says how many. Histograms of openings, requests and proposals on /metrics. Ruled out: appenders of log4cxx, which block; its levels still filter.

--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -97,6 +97,10 @@
         const std::lock_guard lock(m_mutex);
         m_membership = membership;
     }
+    observe::log(observe::Level::Info, "membership",
+        { { "revision", membership->revision }, { "routeVersion", membership->routeVersion },
+            { "routes", membership->routes.size() }, { "members", membership->members.size() },
+            { "from", m_connectedTo.text() } });
     for (const auto& listener : m_listeners)
         listener(membership);
 }
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -196,6 +196,7 @@
     const settings::ControlSettings& settings, net::OperatorServer& operatorServer, observe::Counters& counters)
     : m_settings(settings)
     , m_counters(counters)
+    , m_proposalMillis(counters, "proposal_millis")
     , m_thread("control", queueBound)
 {
     operatorServer.addRoute("/notes", [this](const net::HttpRequest& request) {
@@ -271,6 +272,8 @@
     m_counters.counter("leases_ended_total") += ended.size();
     auto& removed = m_pendingMembers.removed;
     removed.insert(removed.end(), ended.begin(), ended.end());
+    for (const std::uint32_t id : ended)
+        observe::log(observe::Level::Warn, "lease-ended", { { "member", id } });
     if (!removed.empty())
         proposeMembers();
 }
@@ -344,6 +347,7 @@
     auto result = std::make_shared<std::promise<ProposeStatus>>();
     auto finished = result->get_future();
     const auto shared = std::make_shared<Command>(std::move(command));
+    const auto began = std::chrono::steady_clock::now();
     const bool queued = m_thread.post([this, shared, result, whenCommitted](net::Loop& loop) {
         const auto until = loop.timer().now() + std::chrono::milliseconds(publishTimeout).count() * kj::MILLISECONDS;
         proposeUntil(shared, until, [this, result, whenCommitted](ProposeStatus status) {
@@ -358,6 +362,8 @@
         return ProposeStatus::Overloaded;
     if (finished.wait_for(publishTimeout) != std::future_status::ready)
         return ProposeStatus::NoQuorum;
+    const auto took = std::chrono::steady_clock::now() - began;
+    m_proposalMillis.add(std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
     return finished.get();
 }
 
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -8,6 +8,7 @@
 #include "net/LoopThread.h"
 #include "net/OperatorServer.h"
 #include "observe/Counters.h"
+#include "observe/Histogram.h"
 #include "settings/Settings.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -77,6 +78,7 @@
 
     const settings::ControlSettings m_settings;
     observe::Counters& m_counters;
+    observe::Histogram m_proposalMillis;
     net::LoopThread m_thread;
 
     // Control thread only.
--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -274,6 +274,25 @@
     observe::log(observe::Level::Error, "quorum-failed", fields);
 }
 
+void QuorumLog::reportLeader()
+{
+    const auto& core = *m_replica->core();
+    if (core.leader() == m_reportedLeader && (core.leader() == 0 || core.term() == m_reportedTerm))
+        return;
+    m_reportedLeader = core.leader();
+    m_reportedTerm = core.term();
+    observe::log(core.leader() == 0 ? observe::Level::Warn : observe::Level::Info, "leader",
+        { { "leader", core.leader() == 0 ? "" : peerName(core.leader()) }, { "term", core.term() },
+            { "commit", core.commitIndex() }, { "voters", core.configuration().voters.size() },
+            { "votes", core.votes() } });
+}
+
+std::string QuorumLog::peerName(std::uint32_t id) const
+{
+    const auto found = m_peers.find(id);
+    return found != m_peers.end() ? found->second->address.text() : m_settings.listen.text();
+}
+
 // The applied state.
 
 void QuorumLog::apply(std::uint64_t index, const QuorumEntry& entry)
@@ -406,6 +425,7 @@
         reopenAfterFault();
         return m_loop.timer().afterDelay(tickInterval).then([this] { return keepTicking(); });
     }
+    reportLeader();
     m_counters.counter("quorum_term") = m_replica->core()->term();
     m_counters.counter("quorum_commit_index") = m_replica->core()->commitIndex();
     m_counters.counter("quorum_leads") = leads() ? 1 : 0;
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -79,12 +79,14 @@
     void answerAsRelay(const QuorumMessage& message);
     void reopenAfterFault();
     Peer& peer(std::uint32_t id);
+    std::string peerName(std::uint32_t id) const;
     void connect(Peer& peer);
     kj::Promise<void> waitForOtherLeader(std::function<void()> done, kj::TimePoint until);
     void flushSoon();
     void finishApplied();
     void giveUpWaiting();
     void reportFault();
+    void reportLeader();
     void waitForApplied(std::uint64_t index, Done done);
 
     net::Loop& m_loop;
@@ -100,6 +102,8 @@
     bool m_changed = false;
     bool m_flushing = false;
     bool m_faultReported = false;
+    std::uint32_t m_reportedLeader = 0;
+    std::uint64_t m_reportedTerm = 0;
     kj::TimePoint m_reopenAt = kj::origin<kj::TimePoint>();
     kj::Own<QuorumReplica> m_replica;
     kj::TaskSet m_tasks; // last, so that it ends first
--- a/src/flow/PacketAgent.cpp
+++ b/src/flow/PacketAgent.cpp
@@ -459,6 +459,7 @@
         entry->state = PacketFlowState::Answered;
         entry->answerSequence = header.sequence;
         entry->opening.clear();
+        m_output.timed(FlowTiming::Opening, nowMillis - entry->offeredMillis);
     }
     if (entry->state == PacketFlowState::Probed) {
         const auto read = decodePacket(entry->opening);
@@ -482,6 +483,8 @@
             m_workSamples = 0;
         }
     }
+    if (entry->requestMillis != 0)
+        m_output.timed(FlowTiming::Request, nowMillis - entry->requestMillis);
     entry->requestMillis = 0;
     m_flows.setBusy(*entry, false);
 }
--- a/src/flow/PacketOutput.h
+++ b/src/flow/PacketOutput.h
@@ -5,6 +5,12 @@
 
 namespace yuccahook::flow {
 
+/// What callers wait for at a backend server.
+enum class FlowTiming : std::uint8_t {
+    Opening, ///< From an opening packet to its answer.
+    Request ///< From a request to the first byte of its answer.
+};
+
 /// Where packets go that a balancer or an agent sends on. The bytes are valid during the call only.
 class PacketOutput {
 public:
@@ -18,6 +24,9 @@
     virtual void toCaller(std::uint32_t host, PacketBytes packet) = 0;
     virtual void toBackend(PacketBytes packet) = 0;
     virtual void decided(const FlowDecision& decision) = 0;
+
+    /// How long something took that callers wait for.
+    virtual void timed(FlowTiming, std::uint64_t /*millis*/) { }
 };
 
 } // namespace yuccahook::flow
--- a/src/observe/Log.cpp
+++ b/src/observe/Log.cpp
@@ -1,13 +1,13 @@
 #include "observe/Log.h"
 
+#include "observe/LineWriter.h"
+
 #include <array>
 #include <chrono>
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
-#include <log4cxx/patternlayout.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace yuccahook::observe {
 
@@ -40,6 +40,12 @@
     return static_cast<std::size_t>(Level::Info);
 }
 
+LineWriter& standardOutput()
+{
+    static LineWriter writer(STDOUT_FILENO);
+    return writer;
+}
+
 double secondsNow()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -53,8 +59,6 @@
     instanceName = instance;
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
-    root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut()));
     root->setLevel(levelPointer(levelIndex(level)));
 }
 
@@ -69,7 +73,7 @@
     for (const auto& field : fields.items())
         line[field.key()] = field.value();
     const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    root->forcedLog(levelPointer(index), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+    standardOutput().write(text);
 }
 
 void log(Level level, std::string_view event) { log(level, event, nlohmann::json::object()); }
--- a/src/observe/Log.h
+++ b/src/observe/Log.h
@@ -8,7 +8,8 @@
 /// Severity of a log event, mildest first.
 enum class Level { Debug, Info, Warn, Error };
 
-/// Sends log events of `level` and above to standard output, one JSON object a line, with the instance's name.
+/// Sends log events of `level` and above to standard output, one JSON object a line, with the instance's name. Never
+/// waits for a slow reader; see LineWriter.
 void setUpLog(std::string_view instance, std::string_view level);
 
 /// Writes one event. `event` is a stable name such as "member-joined"; `fields` is a JSON object.
--- a/src/roles/AgentPackets.cpp
+++ b/src/roles/AgentPackets.cpp
@@ -28,6 +28,8 @@
     , m_client(client)
     , m_packets(counters.counter("packets_total"))
     , m_openFlows(counters.counter("packet_flows_open"))
+    , m_openingMillis(counters, "packet_opening_millis")
+    , m_requestMillis(counters, "packet_request_millis")
     , m_log(counters)
     , m_core(settings.domain, flow::PacketEndpoint::of(m_packetSettings.listen), std::random_device {}(),
           { m_packetSettings.announceMillis, m_packetSettings.reuseMillis, m_packetSettings.maximumFlowMillis }, codec,
@@ -144,6 +146,11 @@
 
 void AgentPackets::toBackend(flow::PacketBytes packet) { m_outbound->queue(m_packetSettings.backend, packet); }
 
+void AgentPackets::timed(flow::FlowTiming timing, std::uint64_t millis)
+{
+    (timing == flow::FlowTiming::Opening ? m_openingMillis : m_requestMillis).add(millis);
+}
+
 void AgentPackets::decided(const flow::FlowDecision& decision) { m_log.note(decision, net::PacketLoop::nowMillis()); }
 
 } // namespace yuccahook::roles
--- a/src/roles/AgentPackets.h
+++ b/src/roles/AgentPackets.h
@@ -5,6 +5,7 @@
 #include "kernel/Service.h"
 #include "net/PacketLoop.h"
 #include "observe/Counters.h"
+#include "observe/Histogram.h"
 #include "roles/FlowLog.h"
 #include "settings/Settings.h"
 
@@ -44,12 +45,15 @@
     void toCaller(std::uint32_t host, flow::PacketBytes packet) override;
     void toBackend(flow::PacketBytes packet) override;
     void decided(const flow::FlowDecision& decision) override;
+    void timed(flow::FlowTiming timing, std::uint64_t millis) override;
 
     const settings::Settings m_settings;
     const settings::AgentPacketSettings m_packetSettings;
     control::ControlClient& m_client;
     observe::Counter& m_packets;
     observe::Counter& m_openFlows;
+    observe::Histogram m_openingMillis;
+    observe::Histogram m_requestMillis;
     FlowLog m_log;
     flow::PacketAgent m_core; // loop thread only
     net::PacketLoop m_loop;
