--- a/src/flow/FlowDecision.h
+++ b/src/flow/FlowDecision.h
@@ -30,6 +30,7 @@
     NoBackend, ///< None has announced itself here.
     BackendOverdue, ///< Its announcements have stopped.
     BackendSilent, ///< It left an opening packet unanswered.
+    BackendRefused, ///< It gave back an opening packet.
     BackendDraining,
     BackendReplaced, ///< Another incarnation has announced itself.
     BackendForgot, ///< It gave back a packet of the flow.
@@ -65,8 +66,8 @@
 };
 
 template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::FlowReason> {
-    static constexpr std::array<std::string_view, 20> names { "none", "no-route", "routes-stale", "no-agent",
-        "no-backend", "backend-overdue", "backend-silent", "backend-draining", "backend-replaced", "backend-forgot",
-        "stopping", "other-service", "slots-taken", "goal-out-of-reach", "agent-silent", "unknown-flow", "table-full",
-        "paused", "malformed", "forged" };
+    static constexpr std::array<std::string_view, 21> names { "none", "no-route", "routes-stale", "no-agent",
+        "no-backend", "backend-overdue", "backend-silent", "backend-refused", "backend-draining", "backend-replaced",
+        "backend-forgot", "stopping", "other-service", "slots-taken", "goal-out-of-reach", "agent-silent",
+        "unknown-flow", "table-full", "paused", "malformed", "forged" };
 };
--- a/src/flow/PacketAgent.cpp
+++ b/src/flow/PacketAgent.cpp
@@ -272,8 +272,10 @@
         if (isOffered)
             m_flows.erase(flow);
         const auto read = isOffered ? decodePacket(opening) : std::nullopt;
-        if (read)
-            passOnOrRefuse(read->envelope, restored, header, FlowReason::BackendForgot, nowMillis);
+        if (!read)
+            return;
+        m_silentUntilMillis = nowMillis + silentMillis; // a backend server that crashed gives back all that comes
+        passOnOrRefuse(read->envelope, restored, header, FlowReason::BackendRefused, nowMillis);
         return;
     }
     const auto state = entry->state;
--- a/src/flow/PacketAgent.h
+++ b/src/flow/PacketAgent.h
@@ -51,6 +51,9 @@
     std::size_t flows() const { return m_flows.size(); }
 
 private:
+    /// How long an unanswered or refused opening packet keeps new flows away.
+    static constexpr std::uint64_t silentMillis = 300;
+
     struct Subscriber {
         bool isLocal = false;
         std::uint64_t heardMillis = 0;
--- a/src/flow/PacketAgentOpenings.cpp
+++ b/src/flow/PacketAgentOpenings.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::uint64_t answerMillis = 60; // many times what a backend server takes to answer an opening packet
-constexpr std::uint64_t silentMillis = 300; // how long an unanswered one keeps new flows away
 constexpr std::uint64_t startMillis = 2000; // until the backend server has reported to a new agent
 constexpr std::uint64_t reservationMillis = 150; // a caller that opens a flow does so within a few round trips
 constexpr double firstWorkShare = 0.25; // of the goal, until requests have been measured
--- a/src/roles/CommandLine.cpp
+++ b/src/roles/CommandLine.cpp
@@ -3,6 +3,7 @@
 #include "control/JournalReport.h"
 #include "net/HttpCall.h"
 #include "roles/ExitCode.h"
+#include "roles/ExplainCommand.h"
 #include "roles/NoteCommand.h"
 #include "roles/Process.h"
 #include "settings/Settings.h"
@@ -31,6 +32,9 @@
   yuccahook status --address IP:PORT
       Shows the status of any process from its operator address.
       Example: yuccahook status --address 127.0.0.1:7811
+  yuccahook explain CALLER LOG...
+      Prints what the instances decided on the flow of a caller IP:port, from their logs.
+      Example: yuccahook explain 100.64.0.4:1098 balancer.log agent.log
   yuccahook journal check|show FOLDER
       Example: yuccahook journal check data/control-1
       Reads the journal of a control instance that is stopped, or a copy, and changes nothing.
@@ -127,6 +131,8 @@
         return runNote(arguments, out, err);
     if (command == "journal")
         return runJournal(arguments, out, err);
+    if (command == "explain" && words.size() > 2)
+        return runExplain(words[1], { words.begin() + 2, words.end() }, out, err);
     if (command == "status")
         return call(arguments.address, { "GET", "/status", "", "" }, out, err);
     err << helpText;
--- a/tests/flow/PacketCasesTest.cpp
+++ b/tests/flow/PacketCasesTest.cpp
@@ -136,6 +136,24 @@
         CHECK(sent.backends.size() == 2);
     }
 
+    SUBCASE("and passes it on when it comes back, with those that follow, until it answers")
+    {
+        auto bounced = openingPacket();
+        bounced[bench::ModelCodec::flagsAt] |= bench::ModelCodec::bounced;
+        agent.takeFromBackend(bounced, start + 1);
+        REQUIRE(sent.trunks.size() == 1);
+        CHECK(sent.decisions.back().reason == FlowReason::BackendRefused);
+        CHECK(Recorder::read(flow::decodePacket(sent.trunks[0].second)->packet).opens);
+        auto next = openingPacket();
+        next[8] ^= 1; // another port
+        agent.takeFromTrunk(balancer, direct(next), start + 10);
+        CHECK(sent.backends.size() == 1);
+        CHECK(sent.decisions.back().reason == FlowReason::BackendSilent);
+        agent.takeFromBackend(answerPacket(900), start + 20);
+        agent.takeFromTrunk(balancer, direct(next), start + 30);
+        CHECK(sent.backends.size() == 2);
+    }
+
     SUBCASE("a packet that acknowledges another's answer is not its own")
     {
         agent.takeFromBackend(answerPacket(900), start + 1);
