Keep flows that an agent found before the first report

Under planned work such a reset breaks a flow. Change: what was found before belongs to the backend server that reports first. Test, failing before: 'Flows found before the first report go on'.

--- a/src/flow/PacketAgent.cpp
+++ b/src/flow/PacketAgent.cpp
@@ -38,7 +38,12 @@
 
 ReportStatus PacketAgent::takeReport(const BackendReport& report, std::uint64_t nowMillis)
 {
+    const bool isFirst = m_backend.incarnation() == 0;
     const ReportStatus status = m_backend.take(report, nowMillis);
+    if (isFirst) {
+        // What was found before belongs to the backend server that reports now.
+        m_flows.forEach([this](PacketFlowEntry& entry) { entry.incarnation = m_backend.incarnation(); });
+    }
     if (status == ReportStatus::NewIncarnation)
         m_notHere.clear();
     releaseHeld(nowMillis);
--- a/tests/flow/PacketCasesTest.cpp
+++ b/tests/flow/PacketCasesTest.cpp
@@ -282,6 +282,23 @@
     }
 }
 
+TEST_CASE("Flows found before the first report go on with the backend server that reports")
+{
+    Recorder sent;
+    flow::PacketAgent agent("coban", { 1, 7001 }, 1, {}, bench::modelCodec(), sent, start);
+    agent.setMembership(siteOf(2), start);
+    flow::PacketHeader answer;
+    answer.source = route;
+    answer.destination = caller;
+    answer.acknowledges = true;
+    agent.takeFromBackend(bench::ModelCodec::encode(answer, 1, 10), start + 5);
+    agent.takeReport(reportOf(100, 40), start + 10);
+    sent.callers.clear();
+    agent.takeFromTrunk(balancer, direct(callerPacket(901, 10)), start + 20);
+    CHECK(sent.callers.empty()); // no reset
+    CHECK(sent.backends.size() == 1);
+}
+
 TEST_CASE("A balancer sends packets by what it knows of routes and agents")
 {
     Recorder sent;
