--- a/bench/PacketModel.cpp
+++ b/bench/PacketModel.cpp
@@ -191,13 +191,39 @@
     });
 }
 
-void PacketModel::sendFromCaller(const Attempt& attempt, const flow::PacketHeader& pattern)
+// The agents only, and only their backend servers.
+PacketModel::AgentNode& PacketModel::placeWithoutCores(const Attempt& attempt)
+{
+    std::vector<AgentNode*> candidates;
+    for (const auto& agent : m_agents) {
+        if (agent->service + routePort == attempt.flow.route.port)
+            candidates.push_back(agent.get());
+    }
+    if (m_options.policy == PacketPolicy::Naive)
+        return *candidates[flow::hashOf(attempt.flow) % candidates.size()];
+    const auto requests = [](const AgentNode* agent) { return agent->running + agent->waiting.size(); };
+    return **std::min_element(candidates.begin(), candidates.end(),
+        [&requests](const AgentNode* one, const AgentNode* other) { return requests(one) < requests(other); });
+}
+
+void PacketModel::sendFromCaller(Attempt& attempt, const flow::PacketHeader& pattern)
 {
     flow::PacketHeader header = pattern;
     header.source = attempt.flow.caller;
     header.destination = attempt.flow.route;
     const std::size_t data = header.opens || header.finishes || header.dataBytes == 0 ? 0 : requestBytes;
     auto packet = ModelCodec::encode(header, attempt.request->number, data);
+    if (m_options.policy != PacketPolicy::Ours) {
+        if (attempt.placed == SIZE_MAX || header.opens)
+            attempt.placed = placeWithoutCores(attempt).index;
+        auto* const agent = m_agents[attempt.placed].get();
+        m_figures.crossBytes += agent->domain != attempt.domain ? packet.size() : 0;
+        schedule(callerDelay + delayBetween(attempt.domain, agent->domain), [this, agent, packet = std::move(packet)] {
+            if (agent->alive && m_now >= agent->frozenUntil)
+                agent->take(packet);
+        });
+        return;
+    }
     // As a router does: by a hash over the balancers in rotation, of the caller's failure domain first.
     std::vector<BalancerNode*> ready;
     for (const auto& balancer : m_balancers) {
--- a/bench/PacketModel.h
+++ b/bench/PacketModel.h
@@ -15,7 +15,11 @@
 namespace yuccahook::bench {
 
 /// How new flows are placed.
-enum class PacketPolicy { Ours, Random, Ideal };
+enum class PacketPolicy {
+    Ours,
+    Naive, ///< By hash over the list of backend servers, all of which take everything.
+    Ideal ///< The backend server with the fewest requests, as one that sees them all would choose.
+};
 
 /// A site of the packet model.
 struct PacketModelOptions {
@@ -104,7 +108,8 @@
     flow::Member memberOf(std::size_t agent) const;
     void arrive();
     void tryOnce(const std::shared_ptr<Request>& request);
-    void sendFromCaller(const Attempt& attempt, const flow::PacketHeader& header);
+    AgentNode& placeWithoutCores(const Attempt& attempt);
+    void sendFromCaller(Attempt& attempt, const flow::PacketHeader& header);
     void toCaller(std::uint32_t fromDomain, flow::PacketBytes packet);
     void endAttempt(Attempt& attempt, bool mayRepeat);
     void finish(Request& request, bool served);
--- a/bench/PacketModelNodes.cpp
+++ b/bench/PacketModelNodes.cpp
@@ -199,6 +199,10 @@
 
 void PacketModel::AgentNode::send(std::vector<std::uint8_t> packet)
 {
+    if (model.m_options.policy != PacketPolicy::Ours) {
+        model.toCaller(domain, packet);
+        return;
+    }
     model.schedule(backendDelay, [this, copy = std::move(packet)] {
         if (core && model.m_now >= frozenUntil)
             core->takeFromBackend(copy, model.nowMillis());
--- a/bench/PacketModelNodes.h
+++ b/bench/PacketModelNodes.h
@@ -34,6 +34,7 @@
     std::uint32_t domain = 0;
     std::uint32_t answerSequence = 0;
     std::size_t backend = SIZE_MAX; // where it is open
+    std::size_t placed = SIZE_MAX; // by a policy other than ours
     std::uint64_t incarnation = 0;
     bool open = false;
     bool ended = false;
