--- a/src/control/ClusterState.cpp
+++ b/src/control/ClusterState.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t keptDeltas = 4096;
+constexpr std::size_t keptRoutes = 20'000; // in all kept deltas, some 5 MB; an instance may have 80 MB
 
 bool sharesAddress(const flow::Membership& membership, const flow::ServiceSpec& spec)
 {
@@ -233,9 +234,12 @@
         delta.flowIdleMillis = m_membership.flowIdleMillis;
     }
     m_membership = *flow::applied(m_membership, delta);
+    m_recentRoutes += delta.routes.size();
     m_recent.push_back(std::move(delta));
-    if (m_recent.size() > keptDeltas)
+    while (m_recent.size() > keptDeltas || m_recentRoutes > keptRoutes) {
+        m_recentRoutes -= m_recent.front().routes.size();
         m_recent.pop_front();
+    }
 }
 
 flow::MembershipDelta ClusterState::changesAfter(std::uint64_t revision) const
--- a/src/control/ClusterState.h
+++ b/src/control/ClusterState.h
@@ -74,6 +74,7 @@
     flow::Membership m_membership;
     std::map<std::uint64_t, NoteRecord> m_notes;
     std::deque<flow::MembershipDelta> m_recent; // one for each revision, newest last
+    std::size_t m_recentRoutes = 0; // in m_recent
     std::uint32_t m_lastId = 0; // of services and members
     std::string m_routeDocument;
 };
