--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -142,6 +142,7 @@
 void QuorumLog::addContacts(const std::vector<net::Address>& addresses)
 {
     std::vector<std::uint32_t> ids;
+    ids.reserve(addresses.size());
     for (const auto& address : addresses)
         ids.push_back(idOf(address));
     if (m_replica.get())
