--- a/src/flow/PacketAgentOpenings.cpp
+++ b/src/flow/PacketAgentOpenings.cpp
@@ -16,6 +16,8 @@
 constexpr double overloadGoalShare = 0.4;
 constexpr std::uint64_t overloadMillis = 500;
 
+constexpr double leastGain = 0.2; // requests a slot by which a peer's queue must be shorter to be worth a hop
+
 } // namespace
 
 // New flows: taken, passed on or refused.
@@ -117,7 +119,8 @@
     const auto* peer = nextPeer(envelope, nowMillis);
     const bool peerTakes = peer && AgentDirectory::isHeard(*peer, nowMillis) && peer->load.accepts;
     const auto fullness = [](const AgentLoad& of) { return of.busy * 1.0 / std::max<int>(of.slots, 1); };
-    if (peerTakes && (peer->load.free() > 0 || fullness(peer->load) + 1e-9 < fullness(load(nowMillis)) - 0.2)) {
+    const bool isEmptier = peerTakes && fullness(peer->load) < fullness(load(nowMillis)) - leastGain;
+    if (peerTakes && (peer->load.free() > 0 || isEmptier)) {
         passOn(envelope, packet, flow, FlowReason::SlotsTaken, peer);
         return;
     }
