Openings wait for a slot at the agent, by goal, priority and time

Change: flow/OpeningQueue; the envelope of an opening carries goal, timeout, time waited and priority (that of other packets is six bytes shorter); a slot that is free elsewhere takes over what waits; a refusal that may still be told comes 170 ms after the opening at the latest.

--- a/bench/PacketModel.h
+++ b/bench/PacketModel.h
@@ -48,6 +48,8 @@
     std::uint64_t inGoal = 0;
     std::uint64_t late = 0;
     std::uint64_t failed = 0;
+    std::uint64_t unsafeAsked = 0; ///< Of those asked, that must not run twice; their routes go first.
+    std::uint64_t unsafeInGoal = 0;
     std::uint64_t shed = 0; ///< Refused by a backend server as not run.
     std::uint64_t resets = 0; ///< Of flows that never opened.
     std::uint64_t brokenFlows = 0; ///< Open flows that were reset while their backend server lived.
@@ -62,6 +64,7 @@
     std::map<std::string, std::uint64_t> decisions;
 
     double servedShare() const { return asked == 0 ? 1 : double(inGoal + late) / double(asked); }
+    double unsafeGoalShare() const { return unsafeAsked == 0 ? 1 : double(unsafeInGoal) / double(unsafeAsked); }
     double goalShare() const { return asked == 0 ? 1 : double(inGoal) / double(asked); }
 };
 
--- a/src/flow/FlowDecision.h
+++ b/src/flow/FlowDecision.h
@@ -11,6 +11,7 @@
 /// What a balancer or an agent did with a flow.
 enum class FlowVerdict : std::uint8_t {
     Sent, ///< A balancer gave a new flow to an agent.
+    Waits, ///< At an agent, for a slot of its backend server.
     Accepted, ///< An agent gave a new flow to its backend server.
     Passed, ///< An agent passed a new flow on to another.
     Refused, ///< Not run: no backend server was offered it, or none took it. Its caller knows at once.
@@ -61,8 +62,8 @@
 } // namespace yuccahook::flow
 
 template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::FlowVerdict> {
-    static constexpr std::array<std::string_view, 9> names { "sent", "accepted", "passed", "refused", "declined",
-        "reset", "searched", "found", "dropped" };
+    static constexpr std::array<std::string_view, 10> names { "sent", "waits", "accepted", "passed", "refused",
+        "declined", "reset", "searched", "found", "dropped" };
 };
 
 template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::FlowReason> {
--- a/src/flow/HeldPackets.h
+++ b/src/flow/HeldPackets.h
@@ -28,19 +28,24 @@
         if (m_packets.size() >= maximumPackets)
             return false;
         // What counts is when the caller sent the first copy.
-        const std::uint64_t age = copyMillis[std::min<std::size_t>(header.copy, copyMillis.size() - 1)];
-        m_packets.push_back({ flow, header.sequence, header.opens, bytes.size(), nowMillis - std::min(age, nowMillis),
-            std::vector<std::uint8_t>(bytes.begin(), bytes.end()) });
+        m_packets.push_back({ flow, header.sequence, header.opens, bytes.size(),
+            nowMillis - std::min(ageOf(header), nowMillis), std::vector<std::uint8_t>(bytes.begin(), bytes.end()) });
         return true;
     }
 
-    /// Ends the wait of all packets and calls `take` with each that is still of use.
+    /// How long before a packet its caller sent the first copy of it.
+    static std::uint64_t ageOf(const PacketHeader& header)
+    {
+        return header.opens ? copyMillis[std::min<std::size_t>(header.copy, copyMillis.size() - 1)] : 0;
+    }
+
+    /// Ends the wait of all packets and calls `take` with each that is still of use, and the time since it was sent.
     template <typename Take> void release(std::uint64_t nowMillis, const Take& take)
     {
         const auto waiting = std::exchange(m_packets, {});
         for (const auto& held : waiting) {
             if (nowMillis - held.sinceMillis <= longestMillis)
-                take(PacketBytes(held.bytes));
+                take(PacketBytes(held.bytes), nowMillis - held.sinceMillis);
         }
     }
 
--- a/src/flow/PacketAgent.cpp
+++ b/src/flow/PacketAgent.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t maximumNotHere = 4096;
 constexpr std::uint32_t workSamples = 20; // requests whose mean is one step of the estimate
 constexpr double workSmoothing = 0.5;
+constexpr double reachSmoothing = 0.1; // some ten flows
 
 } // namespace
 
@@ -21,7 +22,6 @@
     , m_codec(codec)
     , m_output(output)
     , m_startMillis(nowMillis)
-    , m_lastFreeMillis(nowMillis)
     , m_membership(std::make_shared<Membership>())
     , m_peers(std::move(domain), seed)
 {
@@ -103,6 +103,7 @@
         takeOpening(read->envelope, read->packet, *header, nowMillis);
     else
         takeUnderWay(read->envelope, read->packet, *header, nowMillis);
+    serveWaiting(nowMillis);
 }
 
 void PacketAgent::takeUnderWay(
@@ -154,6 +155,8 @@
     if (isNew && entry.requestMillis == 0 && !entry.backendFinished) {
         entry.busyBefore = entry.busy ? entry.busyBefore : m_flows.busy();
         entry.requestMillis = nowMillis;
+        if (entry.busy)
+            m_reachMillis += (static_cast<double>(nowMillis - entry.offeredMillis) - m_reachMillis) * reachSmoothing;
         m_flows.setBusy(entry, true);
     }
     if (header.resets || header.finishes)
@@ -216,6 +219,7 @@
     }
     noteAnswer(*header, nowMillis);
     m_output.toCaller(header->destination.host, packet);
+    serveWaiting(nowMillis);
 }
 
 void PacketAgent::noteAnswer(const PacketHeader& header, std::uint64_t nowMillis)
--- a/src/flow/PacketAgent.h
+++ b/src/flow/PacketAgent.h
@@ -3,6 +3,7 @@
 #include "flow/AgentDirectory.h"
 #include "flow/Backend.h"
 #include "flow/HeldPackets.h"
+#include "flow/OpeningQueue.h"
 #include "flow/PacketFlowTable.h"
 #include "flow/PacketOutput.h"
 #include "flow/PauseDetector.h"
@@ -74,8 +75,16 @@
     bool isStarting(std::uint64_t nowMillis) const;
     void releaseHeld(std::uint64_t nowMillis);
     std::optional<FlowReason> obstacle(std::uint32_t service, std::uint64_t nowMillis) const;
-    bool meetsGoal(std::uint32_t goalMillis, std::uint64_t nowMillis) const;
-    void noteFree(std::uint64_t nowMillis);
+
+    // Waiting for a slot.
+    bool hasRoom() const;
+    std::uint32_t takenAhead() const;
+    double workMillis(std::uint32_t goalMillis) const;
+    bool waitForSlot(
+        const PacketEnvelope& envelope, PacketBytes packet, const PacketFlow& flow, std::uint64_t nowMillis);
+    void serveWaiting(std::uint64_t nowMillis);
+    void shareWaiting(std::uint64_t nowMillis);
+    void endWaiting(std::uint64_t nowMillis);
     const AgentDirectory::Agent* nextPeer(const PacketEnvelope& envelope, std::uint64_t nowMillis);
 
     // Flows under way.
@@ -105,7 +114,6 @@
     const PacketCodec& m_codec;
     PacketOutput& m_output;
     const std::uint64_t m_startMillis;
-    std::uint64_t m_lastFreeMillis; // when a slot was free
     MembershipPointer m_membership;
     std::uint32_t m_member = 0; // 0 before it has joined
     AgentDirectory m_peers;
@@ -113,6 +121,8 @@
     PacketFlowTable m_flows;
     HeldPackets m_held; // opening packets, until the backend server and the membership are known
     std::unordered_set<PacketFlow> m_notHere; // flows that the backend server gave back
+    OpeningQueue m_waiting;
+    std::uint64_t m_shortMillis = 0; // when one was last refused because others wait
     std::deque<std::pair<std::uint64_t, PacketFlow>> m_offered; // by deadline
     std::deque<std::pair<std::uint64_t, PacketFlow>> m_reserved; // the same, for the slots that they hold
     PauseDetector m_pauses;
@@ -120,6 +130,7 @@
     std::uint64_t m_silentUntilMillis = 0;
     std::uint64_t m_expiredMillis = 0;
     std::uint64_t m_subscribedMillis = 0;
+    double m_reachMillis = 0; // from an accepted opening packet to the request
     double m_workMillis = 0; // of a request that had a slot at once; 0 before it is known
     double m_workSum = 0; // of the requests since the last step
     std::uint32_t m_workSamples = 0;
--- a/src/flow/PacketAgentLoad.cpp
+++ b/src/flow/PacketAgentLoad.cpp
@@ -36,7 +36,7 @@
     const auto* service = m_membership->serviceNamed(report->service);
     now.accepts = service && !obstacle(service->id, nowMillis);
     now.slots = static_cast<std::uint16_t>(std::min<std::uint32_t>(report->slots, UINT16_MAX));
-    now.busy = static_cast<std::uint16_t>(std::min<std::uint32_t>(m_flows.busy(), UINT16_MAX));
+    now.busy = static_cast<std::uint16_t>(std::min<std::size_t>(m_flows.busy() + m_waiting.size(), UINT16_MAX));
     return now;
 }
 
@@ -91,8 +91,10 @@
     m_pauses.note(nowMillis);
     passOnUnanswered(nowMillis);
     endReservations(nowMillis);
-    noteFree(nowMillis);
     releaseHeld(nowMillis);
+    endWaiting(nowMillis);
+    serveWaiting(nowMillis);
+    shareWaiting(nowMillis);
     if (nowMillis - m_expiredMillis >= expireMillis)
         expire(nowMillis);
     if (nowMillis - m_subscribedMillis >= subscribeMillis) {
--- a/src/flow/PacketAgentOpenings.cpp
+++ b/src/flow/PacketAgentOpenings.cpp
@@ -9,13 +9,6 @@
 constexpr std::uint64_t answerMillis = 60; // many times what a backend server takes to answer an opening packet
 constexpr std::uint64_t startMillis = 2000; // until the backend server has reported to a new agent
 constexpr std::uint64_t reservationMillis = 150; // a caller that opens a flow does so within a few round trips
-constexpr double firstWorkShare = 0.25; // of the goal, until requests have been measured
-// Shares of the latency goal that waiting and work may take: in a burst, and once slots have been short for a while,
-// when a long queue would make all requests late (PacketModel, loads 0.85 to 2).
-constexpr double burstGoalShare = 0.8;
-constexpr double overloadGoalShare = 0.4;
-constexpr std::uint64_t overloadMillis = 500;
-
 constexpr double leastGain = 0.2; // requests a slot by which a peer's queue must be shorter to be worth a hop
 
 } // namespace
@@ -33,7 +26,14 @@
 {
     if (isStarting(nowMillis))
         return;
-    m_held.release(nowMillis, [this, nowMillis](PacketBytes datagram) { takeFromTrunk({}, datagram, nowMillis); });
+    m_held.release(nowMillis, [this, nowMillis](PacketBytes datagram, std::uint64_t waited) {
+        auto held = decodePacket(datagram);
+        const auto header = held ? m_codec.decode(held->packet) : std::nullopt;
+        if (!header)
+            return;
+        held->envelope.waitedMillis = static_cast<std::uint16_t>(waited);
+        takeOpening(held->envelope, held->packet, *header, nowMillis);
+    });
 }
 
 // Why the backend server may take no new flow of a service, whatever its load.
@@ -59,25 +59,6 @@
     return std::nullopt;
 }
 
-void PacketAgent::noteFree(std::uint64_t nowMillis)
-{
-    if (m_backend.report() && m_flows.busy() < m_backend.report()->slots)
-        m_lastFreeMillis = nowMillis;
-}
-
-// Whether a request that waits behind the others is answered within the goal.
-bool PacketAgent::meetsGoal(std::uint32_t goalMillis, std::uint64_t nowMillis) const
-{
-    const std::uint32_t slots = std::max<std::uint32_t>(m_backend.report()->slots, 1);
-    const std::uint32_t waiting = m_flows.busy() + 1 - std::min(m_flows.busy() + 1, slots);
-    if (goalMillis == 0)
-        return waiting <= slots;
-    const double work = m_workMillis > 0 ? m_workMillis : goalMillis * firstWorkShare;
-    const bool overloaded = nowMillis - m_lastFreeMillis > overloadMillis;
-    const double share = overloaded ? overloadGoalShare : burstGoalShare;
-    return waiting * work / slots + work <= goalMillis * share;
-}
-
 const AgentDirectory::Agent* PacketAgent::nextPeer(const PacketEnvelope& envelope, std::uint64_t nowMillis)
 {
     if (envelope.tried.size() >= PacketEnvelope::maximumHops)
@@ -97,6 +78,8 @@
         m_output.toBackend(packet); // a copy
         return;
     }
+    if (m_waiting.contains(flow))
+        return; // a copy
     if (const auto reason = obstacle(envelope.service, nowMillis)) {
         const auto* peer = nextPeer(envelope, nowMillis);
         const bool peerTakes = peer && AgentDirectory::isHeard(*peer, nowMillis) && peer->load.accepts;
@@ -111,8 +94,7 @@
         passOnOrRefuse(envelope, packet, header, FlowReason::TableFull, nowMillis);
         return;
     }
-    noteFree(nowMillis);
-    if (load(nowMillis).free() > 0) {
+    if (hasRoom()) {
         accept(envelope, packet, flow, nowMillis);
         return;
     }
@@ -124,11 +106,8 @@
         passOn(envelope, packet, flow, FlowReason::SlotsTaken, peer);
         return;
     }
-    if (meetsGoal(envelope.goalMillis, nowMillis)) {
-        accept(envelope, packet, flow, nowMillis);
-        return;
-    }
-    refuse(envelope, header, FlowReason::GoalOutOfReach, nowMillis);
+    if (!waitForSlot(envelope, packet, flow, nowMillis))
+        refuse(envelope, header, FlowReason::GoalOutOfReach, nowMillis);
 }
 
 void PacketAgent::accept(
--- a/src/flow/PacketBalancer.cpp
+++ b/src/flow/PacketBalancer.cpp
@@ -1,6 +1,7 @@
 #include "flow/PacketBalancer.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace yuccahook::flow {
 
@@ -12,6 +13,11 @@
 constexpr std::uint64_t loadsMillis = 50; // many round trips between failure domains of a region
 constexpr std::uint64_t cacheAgeMillis = 20'000; // above the usual idle limit of a flow
 
+template <typename Number> Number bounded(std::uint64_t value)
+{
+    return static_cast<Number>(std::min<std::uint64_t>(value, std::numeric_limits<Number>::max()));
+}
+
 } // namespace
 
 PacketBalancer::PacketBalancer(std::string domain, std::uint64_t seed, const PacketCodec& codec, PacketOutput& output)
@@ -52,7 +58,8 @@
 void PacketBalancer::releaseHeld(std::uint64_t nowMillis)
 {
     if (m_held.size() > 0 && !isStarting(nowMillis))
-        m_held.release(nowMillis, [this, nowMillis](PacketBytes packet) { take(packet, true, nowMillis); });
+        m_held.release(nowMillis,
+            [this, nowMillis](PacketBytes packet, std::uint64_t waited) { take(packet, waited, nowMillis); });
 }
 
 void PacketBalancer::tick(std::uint64_t nowMillis, std::uint64_t stalenessMillis)
@@ -94,9 +101,12 @@
     note(FlowVerdict::Refused, reason, flow);
 }
 
-void PacketBalancer::takeFromCaller(PacketBytes packet, std::uint64_t nowMillis) { take(packet, false, nowMillis); }
+void PacketBalancer::takeFromCaller(PacketBytes packet, std::uint64_t nowMillis)
+{
+    take(packet, std::nullopt, nowMillis);
+}
 
-void PacketBalancer::take(PacketBytes packet, bool wasHeld, std::uint64_t nowMillis)
+void PacketBalancer::take(PacketBytes packet, std::optional<std::uint64_t> waitedMillis, std::uint64_t nowMillis)
 {
     m_pauses.note(nowMillis);
     const auto header = m_codec.decode(packet);
@@ -113,13 +123,13 @@
         note(FlowVerdict::Dropped, FlowReason::Paused, flow);
         return;
     }
-    if (!wasHeld && isStarting(nowMillis)) {
+    if (!waitedMillis && isStarting(nowMillis)) {
         if (!m_held.add(flow, *header, packet, nowMillis))
             note(FlowVerdict::Dropped, FlowReason::RoutesStale, flow);
         return;
     }
     if (header->opens) {
-        takeOpening(packet, *header, wasHeld, nowMillis);
+        takeOpening(packet, *header, waitedMillis, nowMillis);
         return;
     }
     if (const auto* placed = m_cache.find(flow))
@@ -147,10 +157,11 @@
     return 0;
 }
 
-void PacketBalancer::takeOpening(PacketBytes packet, const PacketHeader& header, bool wasHeld, std::uint64_t nowMillis)
+void PacketBalancer::takeOpening(
+    PacketBytes packet, const PacketHeader& header, std::optional<std::uint64_t> waitedMillis, std::uint64_t nowMillis)
 {
     const PacketFlow flow = header.fromCaller();
-    const bool quiet = wasHeld || header.copy > 0;
+    const bool quiet = waitedMillis || header.copy > 0;
     const auto* route = m_membership->route(flow.route.address());
     if (!route) {
         if (m_stalenessMillis <= freshMillis)
@@ -162,7 +173,10 @@
     PacketEnvelope envelope;
     envelope.quiet = quiet;
     envelope.service = serviceOf(*route, flow);
-    envelope.goalMillis = static_cast<std::uint16_t>(std::min<std::uint32_t>(route->latencyGoalMillis, UINT16_MAX));
+    envelope.goalMillis = bounded<std::uint16_t>(route->latencyGoalMillis);
+    envelope.timeoutMillis = bounded<std::uint16_t>(route->timeoutMillis);
+    envelope.waitedMillis = bounded<std::uint16_t>(waitedMillis.value_or(HeldPackets::ageOf(header)));
+    envelope.priority = bounded<std::uint8_t>(route->priority);
     const auto* placed = m_cache.find(flow);
     if (!placed) {
         send(packet, header, envelope, FlowReason::None, nowMillis);
--- a/src/flow/PacketBalancer.h
+++ b/src/flow/PacketBalancer.h
@@ -7,6 +7,7 @@
 #include "flow/PlacementCache.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace yuccahook::flow {
@@ -29,8 +30,10 @@
     std::size_t cachedFlows() const { return m_cache.size(); }
 
 private:
-    void takeOpening(PacketBytes packet, const PacketHeader& header, bool wasHeld, std::uint64_t nowMillis);
-    void take(PacketBytes packet, bool wasHeld, std::uint64_t nowMillis);
+    // `waitedMillis` is set for a packet that was held here.
+    void takeOpening(PacketBytes packet, const PacketHeader& header, std::optional<std::uint64_t> waitedMillis,
+        std::uint64_t nowMillis);
+    void take(PacketBytes packet, std::optional<std::uint64_t> waitedMillis, std::uint64_t nowMillis);
     void takeDeclined(const PacketEndpoint& source, PacketBytes datagram, std::uint64_t nowMillis);
     bool isStarting(std::uint64_t nowMillis) const;
     void releaseHeld(std::uint64_t nowMillis);
--- a/src/flow/PacketEnvelope.cpp
+++ b/src/flow/PacketEnvelope.cpp
@@ -4,11 +4,13 @@
 
 namespace {
 
-constexpr std::size_t shortBytes = 8; // kind, hops, goal, service
+constexpr std::size_t shortBytes = 2; // kind, hops
+constexpr std::size_t openingBytes = 11; // service, goal, timeout, waited, priority
 constexpr std::size_t originBytes = 6;
 constexpr std::size_t triedBytes = 4;
 constexpr std::uint8_t hasOrigin = 0x80; // in the byte of hops
 constexpr std::uint8_t isQuiet = 0x40;
+constexpr std::uint8_t hasOpening = 0x20;
 
 /// Writes big-endian fields one after the other.
 template <typename Buffer> class Writer {
@@ -73,16 +75,22 @@
 std::vector<std::uint8_t> encodePacket(const PacketEnvelope& envelope, PacketBytes packet)
 {
     const bool originSet = envelope.origin.port != 0;
-    std::vector<std::uint8_t> bytes(
-        shortBytes + (originSet ? originBytes : 0) + envelope.tried.size() * triedBytes + packet.size());
+    const bool opens = envelope.service != 0;
+    std::vector<std::uint8_t> bytes(shortBytes + (originSet ? originBytes : 0) + (opens ? openingBytes : 0)
+        + envelope.tried.size() * triedBytes + packet.size());
     Writer writer(bytes);
     writer.put(static_cast<std::uint8_t>(envelope.kind));
-    writer.put(static_cast<std::uint8_t>(
-        envelope.tried.size() | (originSet ? hasOrigin : 0) | (envelope.quiet ? isQuiet : 0)));
-    writer.put(envelope.goalMillis);
-    writer.put(envelope.service);
+    writer.put(static_cast<std::uint8_t>(envelope.tried.size() | (originSet ? hasOrigin : 0)
+        | (envelope.quiet ? isQuiet : 0) | (opens ? hasOpening : 0)));
     if (originSet)
         writer.put(envelope.origin);
+    if (opens) {
+        writer.put(envelope.service);
+        writer.put(envelope.goalMillis);
+        writer.put(envelope.timeoutMillis);
+        writer.put(envelope.waitedMillis);
+        writer.put(envelope.priority);
+    }
     for (const std::uint32_t member : envelope.tried)
         writer.put(member);
     std::copy(packet.begin(), packet.end(), bytes.end() - static_cast<std::ptrdiff_t>(packet.size()));
@@ -97,16 +105,22 @@
     EnvelopedPacket read;
     read.envelope.kind = static_cast<EnvelopeKind>(reader.take<std::uint8_t>());
     const auto hops = reader.take<std::uint8_t>();
-    const std::size_t tried = hops & ~(hasOrigin | isQuiet);
+    const std::size_t tried = hops & ~(hasOrigin | isQuiet | hasOpening);
     const bool originSet = (hops & hasOrigin) != 0;
-    const std::size_t more = (originSet ? originBytes : 0) + tried * triedBytes;
+    const bool opens = (hops & hasOpening) != 0;
+    const std::size_t more = (originSet ? originBytes : 0) + (opens ? openingBytes : 0) + tried * triedBytes;
     if (tried > PacketEnvelope::maximumHops || datagram.size() < shortBytes + more)
         return std::nullopt;
     read.envelope.quiet = (hops & isQuiet) != 0;
-    read.envelope.goalMillis = reader.take<std::uint16_t>();
-    read.envelope.service = reader.take<std::uint32_t>();
     if (originSet)
         read.envelope.origin = reader.takeEndpoint();
+    if (opens) {
+        read.envelope.service = reader.take<std::uint32_t>();
+        read.envelope.goalMillis = reader.take<std::uint16_t>();
+        read.envelope.timeoutMillis = reader.take<std::uint16_t>();
+        read.envelope.waitedMillis = reader.take<std::uint16_t>();
+        read.envelope.priority = reader.take<std::uint8_t>();
+    }
     for (std::size_t index = 0; index < tried; ++index)
         read.envelope.tried.push_back(reader.take<std::uint32_t>());
     read.packet = reader.rest();
--- a/src/flow/PacketEnvelope.h
+++ b/src/flow/PacketEnvelope.h
@@ -24,8 +24,11 @@
     static constexpr std::size_t maximumHops = 3; ///< Agents that an opening packet is offered to before the last.
 
     EnvelopeKind kind = EnvelopeKind::Direct;
-    std::uint16_t goalMillis = 0; ///< Latency goal of the route's requests.
-    std::uint32_t service = 0;
+    std::uint32_t service = 0; ///< That a new flow is for; 0 on packets of flows under way.
+    std::uint16_t goalMillis = 0; ///< Latency goal of the route's requests; this and what follows with a service only.
+    std::uint16_t timeoutMillis = 0; ///< Of the route's requests.
+    std::uint16_t waitedMillis = 0; ///< How long ago the caller sent the packet, as far as is known.
+    std::uint8_t priority = 0; ///< Of the route; 0 is the highest.
     PacketEndpoint origin; ///< The balancer that took the packet; the datagram's sender when not set.
     std::vector<std::uint32_t> tried; ///< Members that did not take the packet.
     bool quiet = false; ///< Another copy may have opened the flow elsewhere, so a refusal must not reset it.
--- /dev/null
+++ b/tests/flow/OpeningQueueTest.cpp
@@ -0,0 +1,60 @@
+#include "flow/OpeningQueue.h"
+
+#include <doctest/doctest.h>
+
+using namespace yuccahook::flow;
+
+namespace {
+
+PacketFlow flowOf(std::uint16_t port) { return { { 1, port }, { 2, 443 } }; }
+
+WaitingOpening openingOf(std::uint16_t port, std::uint8_t priority, std::uint64_t since)
+{
+    return { flowOf(port), priority, since, since + 200, since + 600, {} };
+}
+
+} // namespace
+
+TEST_CASE("Opening packets that wait for a slot")
+{
+    OpeningQueue queue;
+    REQUIRE(queue.add(openingOf(1, 2, 1000)));
+    REQUIRE(queue.add(openingOf(2, 1, 1010)));
+    REQUIRE(queue.add(openingOf(3, 2, 1250)));
+    CHECK(queue.contains(flowOf(2)));
+    CHECK(queue.ahead(1) == 1);
+    CHECK(queue.ahead(2) == 3);
+
+    SUBCASE("are served by priority, then in the order of time, while all can meet their goal")
+    {
+        CHECK(queue.next(1100)->flow == flowOf(2));
+        CHECK(queue.next(1100)->flow == flowOf(1));
+        CHECK(queue.next(1100)->flow == flowOf(3));
+        CHECK_FALSE(queue.next(1100));
+    }
+
+    SUBCASE("that are late already let those go first that are not")
+    {
+        CHECK(queue.next(1300)->flow == flowOf(3));
+        CHECK(queue.next(1300)->flow == flowOf(2));
+        CHECK(queue.next(1300)->flow == flowOf(1));
+    }
+
+    SUBCASE("leave when their time is over")
+    {
+        const auto ended = queue.takeEnded(1610);
+        REQUIRE(ended.size() == 2);
+        CHECK(ended[0].flow == flowOf(1));
+        CHECK(ended[1].flow == flowOf(2));
+        CHECK(queue.size() == 1);
+        CHECK(queue.takeAll().size() == 1);
+        CHECK(queue.size() == 0);
+    }
+
+    SUBCASE("are no more than a bound")
+    {
+        while (queue.size() < OpeningQueue::maximumPackets)
+            REQUIRE(queue.add(openingOf(static_cast<std::uint16_t>(queue.size() + 1), 2, 1300)));
+        CHECK_FALSE(queue.add(openingOf(9999, 2, 1300)));
+    }
+}
--- a/tests/flow/PacketCasesTest.cpp
+++ b/tests/flow/PacketCasesTest.cpp
@@ -256,6 +256,76 @@
     CHECK(sent.backends.empty());
 }
 
+TEST_CASE("An agent whose slots are taken lets new flows wait")
+{
+    Recorder sent;
+    flow::PacketAgent agent("coban", { 1, 7001 }, 1, {}, bench::modelCodec(), sent, start);
+    agent.setMembership(siteOf(2), start);
+    agent.takeReport(reportOf(100, 1), start);
+    const auto from = [](std::uint8_t port) {
+        auto packet = openingPacket();
+        packet[8] = port;
+        return packet;
+    };
+    for (std::uint8_t port = 1; port <= 3; ++port) // two slots, and one that comes as soon as one is free
+        agent.takeFromTrunk(balancer, direct(from(port)), start);
+    REQUIRE(sent.backends.size() == 3);
+    agent.takeFromTrunk(balancer, direct(from(4)), start);
+    CHECK(sent.backends.size() == 3);
+    CHECK(sent.decisions.back().verdict == FlowVerdict::Waits);
+
+    SUBCASE("until a slot is free; copies change nothing")
+    {
+        agent.takeFromTrunk(balancer, direct(from(4)), start + 10);
+        CHECK(sent.backends.size() == 3);
+        for (std::uint8_t port = 1; port <= 3; ++port) {
+            auto answer = answerPacket(900);
+            answer[10] = port;
+            agent.takeFromBackend(answer, start + 11);
+        }
+        agent.tick(start + 155); // their callers did not come
+        REQUIRE(sent.backends.size() == 4);
+        CHECK(sent.backends.back().opens);
+        CHECK(sent.decisions.back().verdict == FlowVerdict::Accepted);
+    }
+
+    SUBCASE("until another agent has a free one")
+    {
+        agent.takeFromTrunk({ 2, 7001 }, flow::encodeLoad({ true, 2, 0 }), start + 10);
+        agent.tick(start + 20);
+        REQUIRE(sent.trunks.size() == 1);
+        CHECK(sent.trunks[0].first == flow::PacketEndpoint { 2, 7001 });
+        CHECK(flow::decodePacket(sent.trunks[0].second)->envelope.waitedMillis == 20);
+    }
+
+    SUBCASE("and passes them on when its backend server leaves")
+    {
+        auto leaving = reportOf(100, 2);
+        leaving.draining = true;
+        agent.takeReport(leaving, start + 30);
+        agent.tick(start + 40);
+        REQUIRE(sent.trunks.size() == 1);
+        CHECK(sent.decisions.back().reason == FlowReason::BackendDraining);
+    }
+
+    SUBCASE("as long as they may be answered, and a refusal comes before the caller sends a copy")
+    {
+        std::size_t waiting = 1;
+        for (std::uint8_t port = 5; port < 250 && sent.callers.empty(); ++port) {
+            agent.takeFromTrunk(balancer, direct(from(port)), start + 1);
+            waiting += sent.callers.empty() ? 1 : 0;
+        }
+        REQUIRE(sent.callers.size() == 1);
+        CHECK(sent.callers[0].resets);
+        CHECK(sent.decisions.back().reason == FlowReason::GoalOutOfReach);
+        CHECK(waiting > 10);
+        agent.tick(start + 180);
+        CHECK(sent.callers.size() == 1 + waiting);
+        agent.tick(start + 1500);
+        CHECK(sent.callers.size() == 1 + waiting);
+    }
+}
+
 TEST_CASE("An agent does not offer flows to a backend server that may be gone or another's")
 {
     Recorder sent;
--- a/tests/flow/PacketFlowsTest.cpp
+++ b/tests/flow/PacketFlowsTest.cpp
@@ -148,6 +148,63 @@
     CHECK(figures.goalShare() > 0.5); // two thirds of the work that is asked for can be done at all
 }
 
+TEST_CASE("Packet flows wait for a slot while a wave crests above the slots")
+{
+    PacketModelOptions options;
+    options.load = 0.7;
+    options.slots = 3;
+    options.workMillis = 55;
+    options.goalMillis = 400;
+    options.deadlineMillis = 2000;
+
+    SUBCASE("a little, for two seconds: what doesn't fit is served when the wave falls")
+    {
+        PacketModel model(options);
+        model.at(3, [&model] { model.setLoad(1.15); });
+        model.at(5, [&model] { model.setLoad(0.7); });
+        const auto figures = model.run();
+        checkPromises(figures);
+        CHECK(figures.servedShare() > 0.98);
+        CHECK(figures.unsafeGoalShare() > 0.95);
+    }
+
+    SUBCASE("by far, for half a second: a third of the excess, at the least, is served after")
+    {
+        PacketModel model(options);
+        model.at(3, [&model] { model.setLoad(2.5); });
+        model.at(3.5, [&model] { model.setLoad(0.7); });
+        const auto figures = model.run();
+        checkPromises(figures);
+        const double asked = 2.5 * 0.5 + 0.7 * (options.seconds - 0.5);
+        const double excess = (2.5 - 1) * 0.5 / asked;
+        CHECK(figures.servedShare() > 1 - excess * 2 / 3);
+        CHECK(figures.unsafeGoalShare() > 0.95);
+    }
+
+    SUBCASE("for long: the slots work for answers within the goal, for what is urgent first")
+    {
+        for (const double load : { 1.2, 1.5, 2.0, 3.0 }) {
+            CAPTURE(load);
+            options.load = load;
+            PacketModel model(options);
+            const auto figures = model.run();
+            checkPromises(figures);
+            CHECK(figures.goalShare() > 0.9 / load);
+            CHECK(figures.unsafeGoalShare() > 0.95); // a quarter of the requests, so they fit
+        }
+    }
+
+    SUBCASE("since no balancer had routes for a second: callers do not run out of tries")
+    {
+        PacketModel model(options);
+        for (std::size_t index = 0; index < model.balancers(); ++index)
+            model.at(3, [&model, index] { model.loseMembership(index, 1.0); });
+        const auto figures = model.run();
+        checkPromises(figures);
+        CHECK(figures.servedShare() > 0.98);
+    }
+}
+
 TEST_CASE("Packet flows keep their promises under random faults")
 {
     for (std::uint64_t seed = 1; seed <= 30; ++seed) {
