Only what is served before counts as waiting ahead; more openings under way

Change: the place of an opening counts those before it; two openings ahead; a reservation lasts six times the mean until the request comes (40 to 150 ms); while slots are short for one priority, more urgent ones wait as usual.

--- a/src/flow/OpeningQueue.cpp
+++ b/src/flow/OpeningQueue.cpp
@@ -7,6 +7,15 @@
 
 namespace yuccahook::flow {
 
+namespace {
+
+auto placeOf(const WaitingOpening& opening, std::uint64_t nowMillis)
+{
+    return std::tuple(nowMillis > opening.inGoalUntilMillis, opening.priority, opening.sinceMillis);
+}
+
+} // namespace
+
 bool OpeningQueue::add(WaitingOpening opening)
 {
     if (m_waiting.size() >= maximumPackets)
@@ -23,11 +32,10 @@
 
 std::optional<WaitingOpening> OpeningQueue::next(std::uint64_t nowMillis)
 {
-    const auto order = [nowMillis](const WaitingOpening& opening) {
-        return std::tuple(nowMillis > opening.inGoalUntilMillis, opening.priority, opening.sinceMillis);
-    };
-    const auto first = std::min_element(m_waiting.begin(), m_waiting.end(),
-        [&order](const WaitingOpening& one, const WaitingOpening& other) { return order(one) < order(other); });
+    const auto first = std::min_element(
+        m_waiting.begin(), m_waiting.end(), [nowMillis](const WaitingOpening& one, const WaitingOpening& other) {
+            return placeOf(one, nowMillis) < placeOf(other, nowMillis);
+        });
     if (first == m_waiting.end())
         return std::nullopt;
     std::optional<WaitingOpening> taken = std::move(*first);
@@ -46,10 +54,11 @@
 
 std::vector<WaitingOpening> OpeningQueue::takeAll() { return std::exchange(m_waiting, {}); }
 
-std::size_t OpeningQueue::ahead(std::uint8_t priority) const
+std::size_t OpeningQueue::ahead(const WaitingOpening& opening, std::uint64_t nowMillis) const
 {
+    const auto place = placeOf(opening, nowMillis);
     return static_cast<std::size_t>(std::count_if(m_waiting.begin(), m_waiting.end(),
-        [priority](const WaitingOpening& opening) { return opening.priority <= priority; }));
+        [&place, nowMillis](const WaitingOpening& other) { return placeOf(other, nowMillis) <= place; }));
 }
 
 } // namespace yuccahook::flow
--- a/src/flow/OpeningQueue.h
+++ b/src/flow/OpeningQueue.h
@@ -15,6 +15,7 @@
     std::uint64_t sinceMillis = 0; ///< When its caller sent it.
     std::uint64_t inGoalUntilMillis = 0; ///< Until then a slot still answers it within the latency goal.
     std::uint64_t endMillis = 0; ///< How long it may wait.
+    bool stays = false; ///< Past the time at which a refusal could be told.
     std::vector<std::uint8_t> datagram; ///< The packet in its envelope.
 };
 
@@ -38,8 +39,8 @@
     /// Takes out all.
     std::vector<WaitingOpening> takeAll();
 
-    /// How many would be served before a new one of a priority.
-    std::size_t ahead(std::uint8_t priority) const;
+    /// How many would be served before a new one.
+    std::size_t ahead(const WaitingOpening& opening, std::uint64_t nowMillis) const;
 
     std::size_t size() const { return m_waiting.size(); }
 
--- a/src/flow/PacketAgent.h
+++ b/src/flow/PacketAgent.h
@@ -71,6 +71,7 @@
     void passOnOrRefuse(const PacketEnvelope& envelope, PacketBytes packet, const PacketHeader& header,
         FlowReason reason, std::uint64_t nowMillis);
     void passOnUnanswered(std::uint64_t nowMillis);
+    std::uint64_t reservationMillis() const;
     void endReservations(std::uint64_t nowMillis);
     bool isStarting(std::uint64_t nowMillis) const;
     void releaseHeld(std::uint64_t nowMillis);
@@ -80,8 +81,10 @@
     bool hasRoom() const;
     std::uint32_t takenAhead() const;
     double workMillis(std::uint32_t goalMillis) const;
-    bool waitForSlot(
-        const PacketEnvelope& envelope, PacketBytes packet, const PacketFlow& flow, std::uint64_t nowMillis);
+    bool waitForSlot(const PacketEnvelope& envelope, PacketBytes packet, const PacketFlow& flow,
+        std::uint64_t nowMillis, bool stays = false);
+    bool isShort(std::uint8_t priority, std::uint64_t nowMillis) const;
+    void noteShort(std::uint8_t priority, std::uint64_t nowMillis);
     void serveWaiting(std::uint64_t nowMillis);
     void shareWaiting(std::uint64_t nowMillis);
     void endWaiting(std::uint64_t nowMillis);
@@ -123,6 +126,7 @@
     std::unordered_set<PacketFlow> m_notHere; // flows that the backend server gave back
     OpeningQueue m_waiting;
     std::uint64_t m_shortMillis = 0; // when one was last refused because others wait
+    std::uint8_t m_shortPriority = 0; // of the most urgent that was
     std::deque<std::pair<std::uint64_t, PacketFlow>> m_offered; // by deadline
     std::deque<std::pair<std::uint64_t, PacketFlow>> m_reserved; // the same, for the slots that they hold
     PauseDetector m_pauses;
--- a/src/flow/PacketAgentOpenings.cpp
+++ b/src/flow/PacketAgentOpenings.cpp
@@ -8,7 +8,10 @@
 
 constexpr std::uint64_t answerMillis = 60; // many times what a backend server takes to answer an opening packet
 constexpr std::uint64_t startMillis = 2000; // until the backend server has reported to a new agent
-constexpr std::uint64_t reservationMillis = 150; // a caller that opens a flow does so within a few round trips
+// A caller that opens a flow does so within a few round trips.
+constexpr std::uint64_t leastReservationMillis = 40;
+constexpr std::uint64_t longestReservationMillis = 150;
+constexpr double reservationReaches = 6; // times the mean from an opening packet to the request
 constexpr double leastGain = 0.2; // requests a slot by which a peer's queue must be shorter to be worth a hop
 
 } // namespace
@@ -110,6 +113,14 @@
         refuse(envelope, header, FlowReason::GoalOutOfReach, nowMillis);
 }
 
+std::uint64_t PacketAgent::reservationMillis() const
+{
+    if (m_reachMillis <= 0)
+        return longestReservationMillis;
+    const auto reached = static_cast<std::uint64_t>(reservationReaches * m_reachMillis);
+    return std::clamp(reached, leastReservationMillis, longestReservationMillis);
+}
+
 void PacketAgent::accept(
     const PacketEnvelope& envelope, PacketBytes packet, const PacketFlow& flow, std::uint64_t nowMillis)
 {
@@ -122,7 +133,7 @@
     m_flows.setBusy(entry, true);
     m_notHere.erase(flow);
     m_offered.emplace_back(nowMillis + answerMillis, flow);
-    m_reserved.emplace_back(nowMillis + reservationMillis, flow);
+    m_reserved.emplace_back(nowMillis + reservationMillis(), flow);
     m_output.toBackend(packet);
     if (!envelope.tried.empty())
         m_output.toTrunk(envelope.origin, encodeHolder(flow));
--- a/src/flow/PacketAgentWaiting.cpp
+++ b/src/flow/PacketAgentWaiting.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr std::uint32_t leastAhead = 2; // two slots may end at once, and a caller may not come
 constexpr double firstWorkShare = 0.25; // of the goal, until requests have been measured
 constexpr double goalShare = 0.8; // of the goal, for waiting and work; the rest is for work above the mean
 constexpr double shortGoalShare = 0.6; // the same once some have waited in vain
@@ -30,37 +31,50 @@
 {
     const std::uint32_t slots = std::max<std::uint32_t>(m_backend.report()->slots, 1);
     if (m_workMillis <= 0)
-        return 1;
-    return 1 + std::min(slots, static_cast<std::uint32_t>(std::ceil(slots * m_reachMillis / m_workMillis)));
+        return leastAhead;
+    return leastAhead + std::min(slots, static_cast<std::uint32_t>(std::ceil(slots * m_reachMillis / m_workMillis)));
 }
 
 bool PacketAgent::hasRoom() const { return m_flows.busy() < m_backend.report()->slots + takenAhead(); }
 
+bool PacketAgent::isShort(std::uint8_t priority, std::uint64_t nowMillis) const
+{
+    return m_shortMillis != 0 && nowMillis - m_shortMillis < shortMillis && priority >= m_shortPriority;
+}
+
+void PacketAgent::noteShort(std::uint8_t priority, std::uint64_t nowMillis)
+{
+    if (!isShort(UINT8_MAX, nowMillis) || priority < m_shortPriority)
+        m_shortPriority = priority;
+    m_shortMillis = nowMillis;
+}
+
 // False when it would wait in vain. While others have, only those are taken that can be answered within the goal.
 bool PacketAgent::waitForSlot(
-    const PacketEnvelope& envelope, PacketBytes packet, const PacketFlow& flow, std::uint64_t nowMillis)
+    const PacketEnvelope& envelope, PacketBytes packet, const PacketFlow& flow, std::uint64_t nowMillis, bool stays)
 {
     const double work = workMillis(envelope.goalMillis);
     const double slots = std::max<std::uint32_t>(m_backend.report()->slots, 1);
-    const double expected = (double(m_waiting.ahead(envelope.priority)) + takenAhead() + 1) * work / slots;
     const auto within = [](double share, double whole, double less) {
         return static_cast<std::uint64_t>(std::max(share * whole - less, 0.0));
     };
     WaitingOpening opening;
     opening.flow = flow;
     opening.priority = envelope.priority;
+    opening.stays = stays;
     opening.sinceMillis = nowMillis - std::min<std::uint64_t>(envelope.waitedMillis, nowMillis);
     opening.inGoalUntilMillis = opening.sinceMillis + within(goalShare, envelope.goalMillis, work);
+    const double expected = (double(m_waiting.ahead(opening, nowMillis)) + takenAhead() + 1) * work / slots;
     std::uint64_t longest = longestWaitMillis;
     if (envelope.timeoutMillis != 0) {
         const std::uint64_t share = within(waitShare, envelope.timeoutMillis, 0);
         longest = std::min(longest, std::max<std::uint64_t>(share, envelope.waitedMillis + leastWaitMillis));
     }
-    const bool isShort = m_shortMillis != 0 && nowMillis - m_shortMillis < shortMillis;
-    const std::uint64_t limit
-        = opening.sinceMillis + (isShort ? within(shortGoalShare, envelope.goalMillis, work) : longest);
+    const std::uint64_t limit = opening.sinceMillis
+        + (isShort(envelope.priority, nowMillis) ? within(shortGoalShare, envelope.goalMillis, work) : longest);
     if (static_cast<double>(nowMillis) + expected > static_cast<double>(limit)) {
-        m_shortMillis = envelope.waitedMillis == 0 ? nowMillis : m_shortMillis;
+        if (envelope.waitedMillis == 0)
+            noteShort(envelope.priority, nowMillis);
         return false;
     }
     opening.endMillis = opening.sinceMillis + (envelope.quiet ? longest : std::min(longest, untilCopyMillis));
@@ -119,10 +133,12 @@
         auto read = decodePacket(opening.datagram);
         if (!std::exchange(read->envelope.quiet, true)) {
             read->envelope.waitedMillis = static_cast<std::uint16_t>(nowMillis - opening.sinceMillis);
-            if (waitForSlot(read->envelope, read->packet, opening.flow, nowMillis))
+            if (waitForSlot(read->envelope, read->packet, opening.flow, nowMillis, true))
                 continue;
-            m_shortMillis = nowMillis;
+            noteShort(opening.priority, nowMillis);
         }
+        if (opening.stays)
+            noteShort(opening.priority, nowMillis);
         end(opening, FlowReason::SlotsTaken, false);
     }
     const auto* own = m_backend.report() ? m_membership->serviceNamed(m_backend.report()->service) : nullptr;
--- /dev/null
+++ b/tools/soak_site.py
@@ -0,0 +1,348 @@
+"""Callers, backend servers and routers of packet flows on loopback, with records of what each of them saw."""
+
+import asyncio
+import json
+import random
+import struct
+import time
+
+HEADER = struct.Struct(">IHIHIHBBIII")  # sum, dport, dst, sport, src, len, flags, pad, echo, seq, ack
+SYN, ACK, FIN, RST, BOUNCED = 16, 2, 4, 8, 128
+PACKETS_PORT = 17_172
+OUTBOUND_PORT = 17_173
+BACKEND_PORT = 17_180
+COPIES = (0.2, 0.4)  # pauses before the copies of an opening packet, then until the attempt ends
+ATTEMPT_END = 0.8
+RETRANSMIT = 0.2
+LONGEST_RETRANSMIT = 1.6
+DEADLINE = 4.0
+TRIES = 3
+HEARTBEAT = 0.6
+REQUEST = struct.Struct(">QB")  # id, whether it must not run twice
+
+
+def number(host):
+    a, b, c, d = (int(part) for part in host.split("."))
+    return a << 24 | b << 16 | c << 8 | d
+
+
+def text(host):
+    return ".".join(str(host >> shift & 255) for shift in (24, 16, 8, 0))
+
+
+def packet(source, destination, flags, seq, ack, data=b"", total=1):
+    return HEADER.pack(total, destination[1], destination[0], source[1], source[0], len(data), flags, 0, 0, seq,
+                       ack) + data
+
+
+def answer_to(request, backend):
+    return request + backend.encode() + b"." * 200
+
+
+class Endpoint(asyncio.DatagramProtocol):
+    """A UDP socket whose datagrams go to a function."""
+
+    def __init__(self, take):
+        self.take = take
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, source):
+        self.take(data, source)
+
+    def error_received(self, error):
+        pass  # a peer that is down; its loss is what the soak looks at
+
+
+async def bind(host, port, take):
+    loop = asyncio.get_running_loop()
+    _, endpoint = await loop.create_datagram_endpoint(lambda: Endpoint(take), local_addr=(host, port))
+    return endpoint
+
+
+async def call(method, address, path, body=None, limit=1.0):
+    """One HTTP request; returns (status, text), status 0 when there is no answer in time."""
+    host, port = address.rsplit(":", 1)
+    writer = None
+    try:
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), limit)
+        data = (body or "").encode()
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len(data)}\r\n"
+                     f"Connection: close\r\n\r\n".encode() + data)
+        answer = (await asyncio.wait_for(reader.read(-1), limit)).decode()
+        return int(answer.split(" ", 2)[1]), answer.split("\r\n\r\n", 1)[1]
+    except (OSError, asyncio.TimeoutError, IndexError, ValueError):
+        return 0, ""
+    finally:
+        if writer:
+            writer.close()
+
+
+class Proxy:
+    """A TCP proxy on loopback that can delay, reset, silence or cut one way the connections through it."""
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "pass"
+        self.writers = []
+
+    async def start(self, host):
+        server = await asyncio.start_server(self.accept, host, 0)
+        self.address = f"{host}:{server.sockets[0].getsockname()[1]}"
+
+    async def accept(self, reader, writer):
+        host, port = self.target.rsplit(":", 1)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers += [writer, far_writer]
+        await asyncio.gather(self.copy(reader, far_writer, "there"), self.copy(far_reader, writer, "back"))
+
+    async def copy(self, reader, writer, way):
+        try:
+            while data := await reader.read(65536):
+                while self.mode in ("silent", "no-" + way):
+                    await asyncio.sleep(0.05)
+                if self.mode == "delay":
+                    await asyncio.sleep(0.3)
+                writer.write(data)
+        except (OSError, asyncio.CancelledError):
+            pass  # reset from either side, or the end of the run
+        writer.close()
+
+    def reset(self):
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers = []
+
+
+class Backend:
+    """A backend server beside an agent: holds flows, runs requests, reports to its agent."""
+
+    def __init__(self, site, host, service, slots):
+        self.site = site
+        self.host = host
+        self.service = service
+        self.slots = slots
+        self.alive = False
+        self.count = 0
+
+    async def start(self, report_to):
+        self.report_to = report_to
+        self.endpoint = await bind(self.host, BACKEND_PORT, self.take)
+        self.begin(self.service)
+        asyncio.create_task(self.keep_reporting())
+
+    def begin(self, service, born_shift=0):
+        """Another incarnation, which knows nothing of before."""
+        self.count += 1
+        self.service = service
+        self.id = f"{self.host}-{self.count}"
+        self.born = int(time.time() * 1000) + born_shift
+        self.sequence = 0
+        self.state = "ready"
+        self.drained_at = None
+        self.flows = {}
+        self.alive = True
+
+    def crash(self):
+        self.alive = False
+        self.flows = {}
+
+    def incarnation(self):
+        return self.id if self.alive else None
+
+    async def report(self):
+        self.sequence += 1
+        reported, state = self.id, self.state
+        body = {"service": self.service, "address": f"{self.host}:{BACKEND_PORT}", "zone": "z", "version": "v1",
+                "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": self.sequence,
+                "born": self.born}
+        status, _ = await call("PUT", self.report_to, f"/api/instances/{self.id}", json.dumps(body))
+        if status == 200 and state == "draining" and self.id == reported and self.drained_at is None:
+            self.drained_at = time.monotonic()
+        return status == 200
+
+    async def keep_reporting(self):
+        while True:
+            if self.alive:
+                await self.report()
+            await asyncio.sleep(HEARTBEAT)
+
+    def send(self, data):
+        self.endpoint.transport.sendto(data, (self.host, OUTBOUND_PORT))
+
+    def take(self, data, _source):
+        if not self.alive:
+            return
+        _, dport, dst, sport, src, length, flags, _, _, seq, ack = HEADER.unpack(data[:HEADER.size])
+        caller, route = (src, sport), (dst, dport)
+        key = (caller, route)
+        flow = self.flows.get(key)
+        if not self.site.was_sent(data):
+            self.site.violate("a backend server got a packet that no caller sent", f"{self.id} {key}")
+        if flags & RST:
+            self.flows.pop(key, None)
+            return
+        if flags & SYN:
+            if flow is None:
+                late = self.drained_at and time.monotonic() - self.drained_at > self.site.drain_seconds
+                if late:
+                    self.site.violate("a new flow reached a draining backend server", f"{self.id} {key}")
+                if self.service not in self.site.allowed.get(route, ()):
+                    self.site.violate("a flow reached another service", f"{self.id} {self.service} {route}")
+                flow = self.flows[key] = {"seq": random.getrandbits(31), "answers": {}}
+            self.send(packet(route, caller, SYN | ACK, flow["seq"], seq + 1))
+            return
+        if flow is None:
+            self.send(data[:18] + bytes([flags | BOUNCED]) + data[19:])
+            return
+        if flags & FIN:
+            self.send(packet(route, caller, FIN | ACK, flow["seq"] + 1, seq + 1))
+            return
+        if length:
+            asyncio.create_task(self.run(key, flow, seq, data[HEADER.size:]))
+
+    async def run(self, key, flow, seq, request):
+        if seq not in flow["answers"]:
+            flow["answers"][seq] = None
+            self.site.ran(request, self.id)
+            await asyncio.sleep(random.uniform(0.005, 0.04))
+            flow["answers"][seq] = answer_to(request, self.id)
+        answer = flow["answers"][seq]
+        if answer and self.flows.get(key) is flow:
+            self.send(packet(key[1], key[0], ACK, flow["seq"] + 1 + seq, seq + len(request), answer))
+
+
+class Caller:
+    """Sends requests, some on flows that stay open for several, and judges the answers."""
+
+    def __init__(self, site, host):
+        self.site = site
+        self.host = number(host)
+        self.port = 1024
+        self.flows = {}
+
+    async def start(self):
+        self.endpoint = await bind(text(self.host), PACKETS_PORT, self.take)
+
+    def take(self, data, _source):
+        if self.site.router.loses():
+            return
+        total, dport, dst, sport, src, length, flags, _, _, seq, ack = HEADER.unpack(data[:HEADER.size])
+        queue = self.flows.get((dport, (src, sport)))
+        if queue:
+            queue.put_nowait((total, flags, seq, ack, data[HEADER.size:HEADER.size + length]))
+
+    def send(self, route, port, flags, seq, ack, data=b""):
+        self.site.router.route(packet((self.host, port), route, flags, seq, ack, data))
+
+    async def expect(self, queue, until, wanted):
+        """The next packet that `wanted` accepts; None when time is over."""
+        while (left := until - time.monotonic()) > 0:
+            try:
+                got = await asyncio.wait_for(queue.get(), left)
+            except asyncio.TimeoutError:
+                return None
+            if wanted(got):
+                return got
+        return None
+
+    async def open(self, route, port, queue):
+        """The sequence number of the backend server that took the flow; None when none did."""
+        for copy, pause in enumerate((*COPIES, ATTEMPT_END)):
+            self.send(route, port, SYN, 1, copy)
+            got = await self.expect(queue, time.monotonic() + pause, lambda p: p[1] & (SYN | RST))
+            if got:
+                return None if got[1] & RST else got[2]
+        return None
+
+    async def ask(self, route, port, queue, server, seq, request, until):
+        """The answer on an open flow; None when there is none, or when the flow was reset."""
+        pause = RETRANSMIT
+        while time.monotonic() < until:
+            self.send(route, port, ACK, seq, server + 1, request)
+            end = min(until, time.monotonic() + pause)
+            got = await self.expect(queue, end, lambda p: p[1] & RST or (p[4] and p[3] == seq + len(request)))
+            if got and got[1] & RST:
+                self.site.was_reset(request, got[0] == 0)
+                return None
+            if got:
+                return got[4]
+            pause = min(2 * pause, LONGEST_RETRANSMIT)
+        return None
+
+    async def one_flow(self, route, unsafe, requests, pause):
+        """Requests on one flow after the other, each tried anew as long as that is allowed."""
+        for _ in range(TRIES):
+            self.port += 1
+            port, queue = self.port, asyncio.Queue()
+            self.flows[(port, route)] = queue
+            server = await self.open(route, port, queue)
+            if server is not None:
+                break
+            del self.flows[(port, route)]
+        else:
+            self.site.count("unopened")
+            return False
+        seq, served = 2, True
+        for index in range(requests):
+            request = REQUEST.pack(self.site.new_request(), unsafe)
+            answer = await self.ask(route, port, queue, server, seq, request, time.monotonic() + DEADLINE)
+            served = answer is not None
+            self.site.answered(request, answer)
+            if not served:
+                break
+            seq += len(request)
+            if index + 1 < requests:
+                await asyncio.sleep(pause)
+        self.send(route, port, FIN | ACK, seq, server + 1)
+        del self.flows[(port, route)]
+        return served
+
+    async def keep_calling(self, choices):
+        while not self.site.ending:
+            routes = sorted(self.site.routes)
+            if routes:
+                route = choices.choice(routes)
+                long = choices.random() < 0.25
+                await self.one_flow(route, choices.random() < 0.3, 5 if long else 1, choices.uniform(0.1, 0.7))
+            await asyncio.sleep(choices.uniform(0.02, 0.2))
+
+
+class Router:
+    """Sends callers' packets to balancers in rotation, as the platform's routers do."""
+
+    def __init__(self):
+        self.ready = {}
+        self.misses = {}
+        self.loss = 0.0
+
+    async def start(self, host, balancers):
+        self.balancers = balancers  # packet host by name, with the readiness address
+        self.ready = dict.fromkeys(balancers, False)
+        self.misses = dict.fromkeys(balancers, 0)
+        self.endpoint = await bind(host, PACKETS_PORT, lambda data, source: None)
+        for name in balancers:
+            asyncio.create_task(self.watch(name))
+
+    async def watch(self, name):
+        while True:
+            status, _ = await call("GET", self.balancers[name][1], "/api/readiness", limit=0.4)
+            self.misses[name] = 0 if status == 200 else self.misses[name] + 1
+            self.ready[name] = status == 200 or (self.ready[name] and self.misses[name] < 2)
+            await asyncio.sleep(0.5)
+
+    def loses(self):
+        return random.random() < self.loss
+
+    def route(self, data):
+        if self.loses():
+            return
+        names = [name for name, ready in self.ready.items() if ready] or list(self.ready)
+        flow = data[4:16]
+        name = max(names, key=lambda one: hash((flow, one)))  # only the flows of a balancer that leaves move
+        self.endpoint.transport.sendto(data, (self.balancers[name][0], PACKETS_PORT))
