--- a/bench/PacketModel.cpp
+++ b/bench/PacketModel.cpp
@@ -182,7 +182,7 @@
     const auto port = static_cast<std::uint16_t>(first + request->number % m_options.services);
     attempt->flow.route = { routeHost, port };
     ++request->tries;
-    m_attempts[std::uint64_t { attempt->flow.caller.host } << 16 | attempt->flow.caller.port] = attempt;
+    m_attempts[attempt->flow.caller] = attempt;
     const auto open = [this, attempt](std::uint32_t copy) {
         if (attempt->ended || attempt->answerSequence != 0)
             return;
@@ -273,7 +273,7 @@
 {
     const auto header = *modelCodec().decode(bytes);
     const auto& caller = header.destination;
-    const auto attempt = m_attempts[std::uint64_t { caller.host } << 16 | caller.port].lock();
+    const auto attempt = m_attempts[caller].lock();
     if (!attempt)
         return;
     m_figures.crossBytes += fromDomain != attempt->domain ? bytes.size() : 0;
--- a/bench/PacketModel.h
+++ b/bench/PacketModel.h
@@ -10,6 +10,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace yuccahook::bench {
@@ -138,7 +139,7 @@
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
     std::vector<std::unique_ptr<BalancerNode>> m_balancers;
     std::vector<std::unique_ptr<AgentNode>> m_agents;
-    std::map<std::uint64_t, std::weak_ptr<Attempt>> m_attempts; // by caller's host and port
+    std::unordered_map<flow::PacketEndpoint, std::weak_ptr<Attempt>> m_attempts; // by caller
     std::shared_ptr<flow::Membership> m_membership;
     std::uint32_t m_nextPort = 1024;
     std::uint32_t m_nextHost = 1;
--- a/bench/PacketModelNodes.cpp
+++ b/bench/PacketModelNodes.cpp
@@ -213,7 +213,7 @@
 {
     const auto header = *modelCodec().decode(packet);
     const auto flow = header.fromCaller();
-    const auto attempt = model.m_attempts[std::uint64_t { flow.caller.host } << 16 | flow.caller.port].lock();
+    const auto attempt = model.m_attempts[flow.caller].lock();
     auto found = flows.find(flow);
     if (found == flows.end() && !header.opens) {
         if (attempt && attempt->open && (attempt->backend != index || attempt->incarnation != incarnation)) {
--- a/src/control/QuorumCore.cpp
+++ b/src/control/QuorumCore.cpp
@@ -107,8 +107,7 @@
     std::uint64_t best = 0;
     for (const auto& [peer, progress] : m_progress) {
         const bool better = progress.match > best || m_handOverTo == 0;
-        const bool heard = m_now - progress.heardMillis <= m_timings.electionMillis;
-        if (!better || !heard || !configuration().contains(peer, progress.disk))
+        if (!better || !isHeard(peer, m_timings.electionMillis) || !configuration().contains(peer, progress.disk))
             continue;
         best = progress.match;
         m_handOverTo = peer;
--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -128,18 +128,22 @@
     std::vector<net::Address> addresses;
     if (!runs())
         return addresses;
-    for (const auto& [id, disk] : m_replica->core()->configuration().voters) {
-        const auto known = m_peers.find(id);
-        net::Address address = m_settings.listen;
-        if (known != m_peers.end())
-            address = known->second->address;
-        else if (id != m_settings.id)
-            address.low = (address.low & ~std::uint64_t { UINT32_MAX }) | id;
-        addresses.push_back(address);
-    }
+    for (const auto& [id, disk] : m_replica->core()->configuration().voters)
+        addresses.push_back(addressOf(id));
     return addresses;
 }
 
+net::Address QuorumLog::addressOf(std::uint32_t id) const
+{
+    const auto known = m_peers.find(id);
+    if (known != m_peers.end())
+        return known->second->address;
+    net::Address address = m_settings.listen;
+    if (id != m_settings.id)
+        address.low = (address.low & ~std::uint64_t { UINT32_MAX }) | id;
+    return address;
+}
+
 void QuorumLog::addContacts(const std::vector<net::Address>& addresses)
 {
     std::vector<std::uint32_t> ids;
@@ -152,13 +156,10 @@
 
 QuorumLog::Peer& QuorumLog::peer(std::uint32_t id)
 {
-    auto& found = m_peers[id];
-    if (found.get() == nullptr) {
-        net::Address address = m_settings.listen;
-        address.low = (address.low & ~std::uint64_t { UINT32_MAX }) | id;
-        found = kj::heap<Peer>(Peer { address });
-    }
-    return *found;
+    const auto found = m_peers.find(id);
+    if (found != m_peers.end())
+        return *found->second;
+    return *(m_peers[id] = kj::heap<Peer>(Peer { addressOf(id) }));
 }
 
 QuorumLog::~QuorumLog() noexcept = default;
@@ -289,12 +290,6 @@
             { "votes", core.votes() } });
 }
 
-std::string QuorumLog::peerName(std::uint32_t id) const
-{
-    const auto found = m_peers.find(id);
-    return found != m_peers.end() ? found->second->address.text() : m_settings.listen.text();
-}
-
 // The applied state.
 
 void QuorumLog::apply(std::uint64_t index, const QuorumEntry& entry)
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -79,7 +79,8 @@
     void answerAsRelay(const QuorumMessage& message);
     void reopenAfterFault();
     Peer& peer(std::uint32_t id);
-    std::string peerName(std::uint32_t id) const;
+    std::string peerName(std::uint32_t id) const { return addressOf(id).text(); }
+    net::Address addressOf(std::uint32_t id) const;
     void connect(Peer& peer);
     kj::Promise<void> waitForOtherLeader(std::function<void()> done, kj::TimePoint until);
     void flushSoon();
--- a/src/flow/AgentDirectory.cpp
+++ b/src/flow/AgentDirectory.cpp
@@ -12,8 +12,6 @@
 constexpr std::uint64_t localSilenceMillis = 700;
 constexpr std::uint64_t remoteSilenceMillis = 1600;
 
-std::uint64_t keyOf(const PacketEndpoint& trunk) { return std::uint64_t { trunk.host } << 16 | trunk.port; }
-
 } // namespace
 
 std::uint32_t domainHash(std::string_view domain) { return XXH32(domain.data(), domain.size(), 0); }
@@ -44,18 +42,18 @@
     }
     m_byTrunk.clear();
     for (std::size_t index = 0; index < m_agents.size(); ++index)
-        m_byTrunk[keyOf(m_agents[index].trunk)] = index; // a later member replaces an earlier one of its address
+        m_byTrunk[m_agents[index].trunk] = index; // a later member replaces an earlier one of its address
 }
 
 const AgentDirectory::Agent* AgentDirectory::at(const PacketEndpoint& trunk) const
 {
-    const auto found = m_byTrunk.find(keyOf(trunk));
+    const auto found = m_byTrunk.find(trunk);
     return found != m_byTrunk.end() ? &m_agents[found->second] : nullptr;
 }
 
 bool AgentDirectory::report(const PacketEndpoint& trunk, const AgentLoad& load, std::uint64_t nowMillis)
 {
-    const auto found = m_byTrunk.find(keyOf(trunk));
+    const auto found = m_byTrunk.find(trunk);
     if (found == m_byTrunk.end())
         return false;
     m_agents[found->second].load = load;
@@ -65,7 +63,7 @@
 
 void AgentDirectory::addFlow(const PacketEndpoint& trunk)
 {
-    const auto found = m_byTrunk.find(keyOf(trunk));
+    const auto found = m_byTrunk.find(trunk);
     if (found != m_byTrunk.end())
         ++m_agents[found->second].load.busy;
 }
--- a/src/flow/AgentDirectory.h
+++ b/src/flow/AgentDirectory.h
@@ -58,7 +58,7 @@
     const std::string m_domain;
     std::mt19937_64 m_random;
     std::vector<Agent> m_agents;
-    std::unordered_map<std::uint64_t, std::size_t> m_byTrunk;
+    std::unordered_map<PacketEndpoint, std::size_t> m_byTrunk;
 };
 
 } // namespace yuccahook::flow
--- a/src/flow/PacketAgent.h
+++ b/src/flow/PacketAgent.h
@@ -130,7 +130,7 @@
     std::deque<std::pair<std::uint64_t, PacketFlow>> m_offered; // by deadline
     std::deque<std::pair<std::uint64_t, PacketFlow>> m_reserved; // the same, for the slots that they hold
     PauseDetector m_pauses;
-    std::unordered_map<std::uint64_t, Subscriber> m_subscribers; // by address
+    std::unordered_map<PacketEndpoint, Subscriber> m_subscribers; // by trunk
     std::uint64_t m_silentUntilMillis = 0;
     std::uint64_t m_expiredMillis = 0;
     std::uint64_t m_subscribedMillis = 0;
--- a/src/flow/PacketAgentLoad.cpp
+++ b/src/flow/PacketAgentLoad.cpp
@@ -16,13 +16,6 @@
 constexpr std::uint64_t localRepeatMillis = 250; // an unchanged one no less often
 constexpr std::uint64_t remoteRepeatMillis = 500;
 
-std::uint64_t keyOf(const PacketEndpoint& endpoint) { return std::uint64_t { endpoint.host } << 16 | endpoint.port; }
-
-PacketEndpoint endpointOf(std::uint64_t key)
-{
-    return { static_cast<std::uint32_t>(key >> 16), static_cast<std::uint16_t>(key) };
-}
-
 } // namespace
 
 // Load: told to those who place flows.
@@ -42,7 +35,7 @@
 
 void PacketAgent::noteSubscriber(const PacketEndpoint& source, std::uint32_t domain, std::uint64_t nowMillis)
 {
-    auto [place, isNew] = m_subscribers.try_emplace(keyOf(source));
+    auto [place, isNew] = m_subscribers.try_emplace(source);
     place->second.isLocal = domain == m_domain;
     place->second.heardMillis = nowMillis;
     if (isNew)
@@ -53,7 +46,7 @@
 {
     const AgentLoad current = load(nowMillis);
     const auto bytes = encodeLoad(current);
-    for (auto& [key, subscriber] : m_subscribers) {
+    for (auto& [trunk, subscriber] : m_subscribers) {
         const std::uint64_t since = nowMillis - subscriber.toldMillis;
         const bool turned = subscriber.told.accepts != current.accepts;
         const bool changed
@@ -63,7 +56,7 @@
             continue;
         subscriber.told = current;
         subscriber.toldMillis = nowMillis;
-        m_output.toTrunk(endpointOf(key), bytes);
+        m_output.toTrunk(trunk, bytes);
     }
 }
 
--- a/src/flow/PacketFlow.h
+++ b/src/flow/PacketFlow.h
@@ -45,6 +45,13 @@
 
 } // namespace yuccahook::flow
 
+template <> struct std::hash<yuccahook::flow::PacketEndpoint> {
+    std::size_t operator()(const yuccahook::flow::PacketEndpoint& endpoint) const noexcept
+    {
+        return std::hash<std::uint64_t> {}(std::uint64_t { endpoint.host } << 16 | endpoint.port);
+    }
+};
+
 template <> struct std::hash<yuccahook::flow::PacketFlow> {
     std::size_t operator()(const yuccahook::flow::PacketFlow& flow) const noexcept
     {
