Copies of an opening go where the first one waits

Cause: read in the change: a balancer takes an agent that has told no load since it got an opening for dead, and sends the copy elsewhere; loads of other failure domains come every 200 to 500 ms. The copy may open the flow there, and a refusal of the first that is late by 30 ms would reset it. Ruled out: counting recent loads as a sign of life (an agent that has died would keep the copies, too).

--- a/src/flow/PacketAgentWaiting.cpp
+++ b/src/flow/PacketAgentWaiting.cpp
@@ -81,6 +81,8 @@
     opening.datagram = encodePacket(envelope, packet);
     if (!m_waiting.add(std::move(opening)))
         return false;
+    // A copy that came to another agent could open the flow there before a refusal of this one arrives.
+    m_output.toTrunk(envelope.origin, encodeHolder(flow));
     decide(FlowVerdict::Waits, FlowReason::SlotsTaken, flow, {}, nowMillis - m_backend.heardMillis());
     return true;
 }
--- a/src/flow/PacketBalancer.cpp
+++ b/src/flow/PacketBalancer.cpp
@@ -245,7 +245,7 @@
         break;
     case EnvelopeKind::Holder:
         if (const auto flow = decodeHolder(datagram))
-            m_cache.set(*flow, { source, nowMillis });
+            m_cache.set(*flow, { source, 0 }); // it has answered, so copies need no other agent
         break;
     case EnvelopeKind::Declined:
         takeDeclined(source, datagram, nowMillis);
--- a/src/flow/PlacementCache.h
+++ b/src/flow/PlacementCache.h
@@ -13,7 +13,7 @@
 public:
     struct Placement {
         PacketEndpoint agent;
-        std::uint64_t sentMillis = 0;
+        std::uint64_t sentMillis = 0; ///< 0 once the agent has answered.
     };
 
     Placement* find(const PacketFlow& flow)
--- a/tests/flow/PacketCasesTest.cpp
+++ b/tests/flow/PacketCasesTest.cpp
@@ -273,6 +273,10 @@
     agent.takeFromTrunk(balancer, direct(from(5)), start);
     CHECK(sent.backends.size() == 4);
     CHECK(sent.decisions.back().verdict == FlowVerdict::Waits);
+    REQUIRE(sent.trunks.size() == 1);
+    CHECK(sent.trunks[0].first == balancer); // so that copies come here, too
+    CHECK(flow::kindOf(sent.trunks[0].second) == EnvelopeKind::Holder);
+    sent.trunks.clear();
 
     SUBCASE("until a slot is free; copies change nothing")
     {
@@ -420,6 +424,21 @@
         CHECK(sent.trunks.back().first == other);
     }
 
+    SUBCASE("a copy goes where the first waits, though no load was told since")
+    {
+        auto opening = openingPacket();
+        opening[8] ^= 1; // another port
+        auto copy = openingPacket(1);
+        copy[8] ^= 1;
+        router.takeFromCaller(opening, start + 300);
+        const auto first = sent.trunks.back().first;
+        const flow::PacketFlow waiting = Recorder::read(opening).fromCaller();
+        router.takeFromAgent(first, flow::encodeHolder(waiting), start + 302);
+        router.takeFromCaller(copy, start + 500);
+        CHECK(sent.trunks.size() == 2);
+        CHECK(sent.trunks.back().first == first);
+    }
+
     SUBCASE("a flow that it does not know is asked of all agents of the route")
     {
         auto packet = callerPacket(901);
