--- a/tools/soak_site.py
+++ b/tools/soak_site.py
@@ -99,7 +99,10 @@
             writer.transport.abort()
             return
         self.writers += [writer, far_writer]
-        await asyncio.gather(self.copy(reader, far_writer, "there"), self.copy(far_reader, writer, "back"))
+        try:
+            await asyncio.gather(self.copy(reader, far_writer, "there"), self.copy(far_reader, writer, "back"))
+        except asyncio.CancelledError:
+            pass  # the end of the run
 
     async def copy(self, reader, writer, way):
         try:
@@ -109,8 +112,8 @@
                 if self.mode == "delay":
                     await asyncio.sleep(0.3)
                 writer.write(data)
-        except (OSError, asyncio.CancelledError):
-            pass  # reset from either side, or the end of the run
+        except OSError:
+            pass  # reset from either side
         writer.close()
 
     def reset(self):
