endWaiting reads each packet once; a plain pair in notePresent

Cause: the last reading of the change: endWaiting decoded what had ended twice, through a closure with a flag for its two callers; notePresent wrapped std::pair in a lambda.

--- a/src/control/QuorumElection.cpp
+++ b/src/control/QuorumElection.cpp
@@ -44,9 +44,8 @@
     const bool isFirstElection = m_leaderHeardMillis == 0 && m_role == QuorumRole::Follower;
     if (!isFirstElection || isEmpty() || !votes() || heard.disk == 0)
         return;
-    const auto place = [](std::uint64_t term, std::uint64_t index) { return std::pair { term, index }; };
-    const auto own = place(termAt(lastIndex()), lastIndex());
-    const auto others = place(heard.logTerm, heard.index);
+    const auto own = std::pair { termAt(lastIndex()), lastIndex() };
+    const auto others = std::pair { heard.logTerm, heard.index };
     if (others > own || (others == own && heard.from < m_id))
         return;
     m_present[heard.from] = heard.disk;
--- a/src/flow/PacketAgentWaiting.cpp
+++ b/src/flow/PacketAgentWaiting.cpp
@@ -122,33 +122,26 @@
 {
     if (m_waiting.size() == 0)
         return;
-    const auto end = [this, nowMillis](const WaitingOpening& opening, FlowReason reason, bool mayPassOn) {
-        const auto read = decodePacket(opening.datagram);
-        const auto header = m_codec.decode(read->packet);
-        if (mayPassOn)
-            passOnOrRefuse(read->envelope, read->packet, *header, reason, nowMillis);
-        else
-            refuse(read->envelope, *header, reason, nowMillis);
-    };
     for (const auto& opening : m_waiting.takeEnded(nowMillis)) {
+        const auto read = decodePacket(opening.datagram);
         // From here on a refusal could not be told, so only those stay that will be served.
-        auto read = decodePacket(opening.datagram);
-        if (!std::exchange(read->envelope.quiet, true)) {
-            read->envelope.waitedMillis = static_cast<std::uint16_t>(nowMillis - opening.sinceMillis);
-            if (waitForSlot(read->envelope, read->packet, opening.flow, nowMillis, true))
-                continue;
+        PacketEnvelope untold = read->envelope;
+        untold.quiet = true;
+        untold.waitedMillis = static_cast<std::uint16_t>(nowMillis - opening.sinceMillis);
+        if (!read->envelope.quiet && waitForSlot(untold, read->packet, opening.flow, nowMillis, true))
+            continue;
+        if (!read->envelope.quiet || opening.stays)
             noteShort(opening.priority, nowMillis);
-        }
-        if (opening.stays)
-            noteShort(opening.priority, nowMillis);
-        end(opening, FlowReason::SlotsTaken, false);
+        refuse(read->envelope, *m_codec.decode(read->packet), FlowReason::SlotsTaken, nowMillis);
     }
     const auto* own = m_backend.report() ? m_membership->serviceNamed(m_backend.report()->service) : nullptr;
     const auto reason = own ? obstacle(own->id, nowMillis) : FlowReason::NoBackend;
     if (!reason)
         return;
-    for (const auto& opening : m_waiting.takeAll())
-        end(opening, *reason, true);
+    for (const auto& opening : m_waiting.takeAll()) {
+        const auto read = decodePacket(opening.datagram);
+        passOnOrRefuse(read->envelope, read->packet, *m_codec.decode(read->packet), *reason, nowMillis);
+    }
 }
 
 } // namespace yuccahook::flow
