Subscribers log how many bytes of a reply arrived, and over which time

Logs could not tell a subscriber whose control instance is silent from one whose reply is too large for its link within the time limit of the call: both read 'operation timed out'. control-contact-lost and membership now have the bytes received in the call and the milliseconds from the first to the last of them. Measured: nothing changes but the log; built with the tests of the control folder, which pass.

--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -1,6 +1,7 @@
 #include "control/ControlClient.h"
 
 #include "control/MembershipCodec.h"
+#include "net/MeteredStream.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -31,13 +32,13 @@
 
 /// One RPC connection to a control instance.
 struct ControlClient::Connection {
-    kj::Own<kj::AsyncIoStream> stream;
+    net::MeteredStream stream;
     capnp::TwoPartyClient rpc;
     schema::Control::Client control;
 
-    explicit Connection(kj::Own<kj::AsyncIoStream> connected)
-        : stream(kj::mv(connected))
-        , rpc(*stream)
+    Connection(kj::Own<kj::AsyncIoStream> connected, kj::Timer& timer)
+        : stream(kj::mv(connected), timer)
+        , rpc(stream)
         , control(rpc.bootstrap().castAs<schema::Control>())
     {
     }
@@ -100,7 +101,8 @@
     observe::log(observe::Level::Info, "membership",
         { { "revision", membership->revision }, { "routeVersion", membership->routeVersion },
             { "routes", membership->routes.size() }, { "members", membership->members.size() },
-            { "from", m_connectedTo.text() } });
+            { "from", m_connectedTo.text() }, { "bytes", m_connection->stream.receivedBytes() },
+            { "transferMillis", m_connection->stream.transferMillis() } });
     for (const auto& listener : m_listeners)
         listener(membership);
 }
@@ -126,15 +128,26 @@
     return connect(m_nextAddress++)
         .then([this] { return followChanges(); })
         .catch_([this](kj::Exception&& exception) {
+            const bool wasReceiving = m_connection && m_connection->stream.transferMillis() > 0;
+            if (std::exchange(m_connected, false) || wasReceiving)
+                logContactLost(exception);
             m_connection = nullptr;
-            if (std::exchange(m_connected, false))
-                observe::log(
-                    observe::Level::Warn, "control-contact-lost", { { "reason", exception.getDescription().cStr() } });
         })
         .then([this] { return m_loop->timer().afterDelay(retryDelay); })
         .then([this] { return keepConnected(); });
 }
 
+// Bytes that arrived before a time limit passed tell a reply that is too large for the link from a silent instance.
+void ControlClient::logContactLost(const kj::Exception& exception) const
+{
+    nlohmann::json fields { { "reason", exception.getDescription().cStr() }, { "address", m_connectedTo.text() } };
+    if (m_connection) {
+        fields["bytes"] = m_connection->stream.receivedBytes();
+        fields["transferMillis"] = m_connection->stream.transferMillis();
+    }
+    observe::log(observe::Level::Warn, "control-contact-lost", fields);
+}
+
 kj::Promise<void> ControlClient::connect(std::size_t attempt)
 {
     const net::Address address = m_addresses[attempt % m_addresses.size()];
@@ -144,7 +157,7 @@
     auto connecting = target->connect().attach(kj::mv(target));
     return m_loop->timer().timeoutAfter(connectTimeout, kj::mv(connecting)).then([this, address](auto stream) {
         m_connectedTo = address;
-        m_connection = kj::heap<Connection>(kj::mv(stream));
+        m_connection = kj::heap<Connection>(kj::mv(stream), m_loop->timer());
     });
 }
 
@@ -158,6 +171,7 @@
 kj::Promise<void> ControlClient::requestChanges()
 {
     const bool requestedFull = m_needsFullDelta;
+    m_connection->stream.restart();
     auto request = m_connection->control.changesRequest();
     request.setSubscriber(m_subscriber);
     request.setAfter(requestedFull ? 0 : membership()->revision);
--- a/src/control/ControlClient.h
+++ b/src/control/ControlClient.h
@@ -58,6 +58,7 @@
     struct Connection;
 
     void publish(flow::MembershipPointer membership);
+    void logContactLost(const kj::Exception& exception) const;
     void addNewAddresses(const std::vector<net::Address>& addresses);
     kj::Promise<void> keepConnected();
     kj::Promise<void> connect(std::size_t attempt);
