--- a/schema/quorum.capnp
+++ b/schema/quorum.capnp
@@ -1,6 +1,7 @@
 @0xb7d0c6f21a9e4d35;
 # Messages between control instances and the records of their journals.
 using Cxx = import "/capnp/c++.capnp";
+using Common = import "common.capnp";
 $Cxx.namespace("yuccahook::schema");
 
 struct Voter {
@@ -39,6 +40,8 @@
   echo @10 :UInt64;
   entries @11 :List(QuorumEntry);
   snapshot @12 :QuorumSnapshot;
+  leader @13 :UInt32;
+  operatorAddress @14 :Common.Endpoint;
 }
 
 struct JournalRecord {
--- a/src/control/QuorumCodec.cpp
+++ b/src/control/QuorumCodec.cpp
@@ -124,6 +124,8 @@
     message.echo = reader.getEcho();
     message.entries = readEntries(reader.getEntries());
     message.snapshot = readSnapshot(reader.getSnapshot());
+    message.leader = reader.getLeader();
+    message.operatorAddress = net::readEndpoint(reader.getOperatorAddress());
     return message;
 }
 
@@ -160,6 +162,9 @@
     writeEntries(builder, message.entries);
     if (message.kind == MessageKind::Snapshot)
         writeSnapshot(builder.initSnapshot(), message.snapshot);
+    builder.setLeader(message.leader);
+    if (message.operatorAddress.isSet())
+        net::writeEndpoint(builder.initOperatorAddress(), message.operatorAddress);
     return flatten(arena);
 }
 
--- a/src/control/QuorumMessage.h
+++ b/src/control/QuorumMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/EnumNames.h"
+#include "net/Address.h"
 
 #include <array>
 #include <cstdint>
@@ -93,6 +94,9 @@
     std::uint64_t echo = 0; ///< The sender's clock in milliseconds, or its disk in a hello. Replies return the value.
     std::vector<QuorumEntry> entries;
     QuorumSnapshot snapshot;
+    /// In a hello reply, the leader that the sender is in contact with or is itself; 0 for none.
+    std::uint32_t leader = 0;
+    net::Address operatorAddress; ///< In a hello reply, where operators call the sender; unset when it has no disk.
 };
 
 /// The changes that one sync of the journal makes durable.
--- a/tests/control/QuorumSimulation.cpp
+++ b/tests/control/QuorumSimulation.cpp
@@ -109,20 +109,28 @@
     std::uint64_t seed, std::size_t instances, Mutation mutation, std::set<std::uint32_t> diskless)
     : m_random(seed)
     , m_mutation(mutation)
-    , m_disklessIds(std::move(diskless))
     , m_bootstrapCount(static_cast<std::uint32_t>(instances))
     , m_nextId(static_cast<std::uint32_t>(instances) + 1)
 {
+    std::vector<std::uint32_t> all;
     for (std::uint32_t id = 1; id <= instances; ++id) {
-        if (!m_disklessIds.contains(id))
+        all.push_back(id);
+        if (!diskless.contains(id))
             m_instances.emplace(id, std::make_unique<Instance>(*this, id));
     }
-    for (std::uint32_t id = 1; id <= instances; ++id) {
-        if (!m_disklessIds.contains(id))
+    for (const std::uint32_t id : all) {
+        if (diskless.contains(id))
+            startRelay(id, all);
+        else
             start(id);
     }
 }
 
+void QuorumSimulation::startRelay(std::uint32_t id, const std::vector<std::uint32_t>& discoveryPeers)
+{
+    m_relays.insert_or_assign(id, QuorumRelay(id, discoveryPeers));
+}
+
 std::uint32_t QuorumSimulation::anyInstance()
 {
     return std::next(m_instances.begin(), static_cast<std::ptrdiff_t>(below(m_instances.size())))->first;
@@ -135,6 +143,14 @@
     start(id);
 }
 
+std::uint32_t QuorumSimulation::joinKnowing(const std::vector<std::uint32_t>& discoveryPeers)
+{
+    const std::uint32_t id = m_nextId++;
+    m_instances.emplace(id, std::make_unique<Instance>(*this, id));
+    runCatchingCrash(id, [&](Instance& instance) { instance.start(discoveryPeers, false); });
+    return id;
+}
+
 void QuorumSimulation::leave(std::uint32_t id)
 {
     crash(id);
@@ -255,6 +271,10 @@
 
 std::uint64_t QuorumSimulation::evacuate(std::uint32_t id, const std::string& domain, bool active)
 {
+    if (const auto relay = m_relays.find(id); relay != m_relays.end()) {
+        const auto target = relay->second.requestTarget(m_now);
+        return target ? evacuate(target->id, domain, active) : 0;
+    }
     if (!m_instances.at(id)->isRunning())
         return 0;
     const std::uint32_t leaderId = core(id).leader();
@@ -360,14 +380,8 @@
     while (!m_network.empty() && m_network.top().atMillis <= m_now) {
         const QuorumMessage message = m_network.top().message;
         m_network.pop();
-        if (m_disklessIds.contains(message.to) && message.kind == MessageKind::Hello) {
-            QuorumMessage reply;
-            reply.kind = MessageKind::HelloReply;
-            reply.from = message.to;
-            reply.to = message.from;
-            reply.echo = message.echo;
-            enqueue(reply);
-        }
+        if (const auto relay = m_relays.find(message.to); relay != m_relays.end())
+            relay->second.receive(message, m_now);
         if (!m_instances.contains(message.to) || m_now < m_frozenUntil[message.to])
             continue;
         runCatchingCrash(message.to, [&](Instance& instance) {
@@ -391,6 +405,11 @@
         const auto [term, isNew] = m_leaderOfTerm.try_emplace(instance->replica->core()->term(), id);
         check(isNew || term->second == id, "two leaders in one term");
     }
+    for (auto& [id, relay] : m_relays) {
+        relay.tick(m_now);
+        for (const auto& message : relay.takeMessages())
+            enqueue(message);
+    }
     subscribe();
 }
 
--- a/tests/control/QuorumSimulation.h
+++ b/tests/control/QuorumSimulation.h
@@ -2,6 +2,7 @@
 
 #include "control/ClusterState.h"
 #include "control/FaultyFiles.h"
+#include "control/QuorumRelay.h"
 #include "control/QuorumReplica.h"
 
 #include <map>
@@ -38,6 +39,9 @@
     /// Adds an instance with an empty disk that knows some of the others.
     void join();
 
+    /// Adds an instance with an empty disk that knows only the given others, and returns its id.
+    std::uint32_t joinKnowing(const std::vector<std::uint32_t>& discoveryPeers);
+
     /// Removes an instance permanently.
     void leave(std::uint32_t id);
 
@@ -65,11 +69,18 @@
     /// Submits a note to the leader; false when there is none or it refuses the proposal.
     bool submit(std::uint64_t number, std::uint64_t content);
 
-    /// Gives an order to an instance, which proposes it or forwards it to the leader that it knows. Returns a number
-    /// that is added to `acknowledgedOrders` with its acknowledgement; 0 when it can't be proposed.
+    /// Gives an order to an instance, which proposes it, forwards it to the leader that it knows or, without a disk,
+    /// redirects it. Returns a number that is added to `acknowledgedOrders` with its acknowledgement; 0 when it can't be
+    /// proposed.
     std::uint64_t evacuate(std::uint32_t id, const std::string& domain, bool active);
     const std::set<std::uint64_t>& acknowledgedOrders() const { return m_acknowledgedOrders; }
 
+    /// An instance without a disk.
+    const QuorumRelay& relay(std::uint32_t id) const { return m_relays.at(id); }
+
+    /// Starts an instance without a disk anew; it knows only the given others.
+    void startRelay(std::uint32_t id, const std::vector<std::uint32_t>& discoveryPeers);
+
     /// The evacuated domains at an instance.
     const std::vector<std::string>& evacuated(std::uint32_t id) const;
 
@@ -123,7 +134,7 @@
 
     std::mt19937_64 m_random;
     const Mutation m_mutation;
-    const std::set<std::uint32_t> m_disklessIds; // instances without a disk
+    std::map<std::uint32_t, QuorumRelay> m_relays; // instances without a disk
     const std::uint32_t m_bootstrapCount;
     std::uint32_t m_nextId = 0;
     bool m_memberChanges = false;
