Instances that are not up to date name the voters to subscribers

What callers would see: balancers and agents whose settings list only control instances without a disk never get a membership, so that their backend servers take no work. Cause: a subscriber that was told 'not current' went to its next address and learned nothing; voters were named only in views, which an instance without a disk never sends. Why this mends it: the reply names the voters that the instance knows, from its configuration or, without a disk, from the hello replies of the quorum; the subscriber adds them to its addresses. QuorumRelayTest checks that instances without a disk know the present voters; the subscriber's side has no test without a network.

--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -184,7 +184,10 @@
     }
     return m_loop->timer().timeoutAfter(changesTimeout, request.send()).then([this, requestedFull](auto response) {
         const auto status = static_cast<ChangesStatus>(response.getStatus());
-        KJ_REQUIRE(status != ChangesStatus::NotCurrent, "control instance is not in contact with a quorum");
+        if (status == ChangesStatus::NotCurrent) {
+            addNewAddresses(readDelta(response.getView()).controlAddresses);
+            KJ_FAIL_REQUIRE("control instance is not in contact with a quorum");
+        }
         m_lastContactMillis = nowMillis();
         if (!std::exchange(m_connected, true))
             observe::log(observe::Level::Info, "control-contact", { { "address", m_connectedTo.text() } });
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -202,7 +202,11 @@
         auto results = context.getResults();
         auto status = ChangesStatus::Unchanged;
         if (!m_node.m_log->isCurrent()) {
+            // names the voters, so that a subscriber that knows only instances without a disk finds the quorum
             status = ChangesStatus::NotCurrent;
+            flow::MembershipDelta voters;
+            voters.controlAddresses = m_node.m_log->voters();
+            writeDelta(results.initView(), voters);
         } else if (m_node.m_state->membership().revision > after) {
             status = ChangesStatus::Newer;
             writeDelta(results.initView(), deltaFor(context.getParams(), after));
