--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -16,7 +16,6 @@
 constexpr auto relayTickInterval = 100 * kj::MILLISECONDS;
 constexpr auto connectTimeout = 500 * kj::MILLISECONDS; // one election timeout
 constexpr auto messageTimeout = 800 * kj::MILLISECONDS; // a connection without a reply for this long is replaced
-constexpr auto reopenDelay = 500 * kj::MILLISECONDS; // between attempts to reopen a journal that failed
 constexpr auto proposalTimeout = 5 * kj::SECONDS;
 constexpr auto leadershipTransferTimeout = 1 * kj::SECONDS;
 constexpr std::size_t maximumMessagesInFlight = 128;
@@ -87,9 +86,6 @@
         m_tasks.add(tickRelayPeriodically());
         return;
     }
-    const FileStatus locked = m_files.lock();
-    KJ_REQUIRE(locked == FileStatus::Done, "the data folder can't be locked", settings.data.c_str(),
-        std::string(kernel::nameOf(locked)).c_str());
     openReplica();
     if (fault() && fault()->error != JournalError::File)
         KJ_FAIL_REQUIRE("the journal can't be used", describe(*fault()).dump().c_str());
@@ -98,6 +94,9 @@
 
 void QuorumLog::openReplica()
 {
+    const FileStatus locked = m_files.lock();
+    KJ_REQUIRE(locked == FileStatus::Done, "the data folder can't be locked", m_settings.data.c_str(),
+        std::string(kernel::nameOf(locked)).c_str());
     QuorumReplica::Options options;
     options.id = m_settings.id;
     options.discoveryPeers = idsOf(m_settings.peers);
@@ -110,23 +109,11 @@
         options, m_files, static_cast<QuorumHost&>(*this), QuorumCore::Random(random), nowMillis());
 }
 
-// Opens the journal again and rebuilds the state from it, as a restarted process would. After a failed write only what
-// the file contains is known to be durable.
-void QuorumLog::reopenAfterFault()
+void QuorumLog::reset()
 {
-    const bool isTransient = fault() && fault()->error == JournalError::File;
-    if (!isTransient || m_loop.timer().now() < m_reopenTime)
-        return;
-    m_reopenTime = m_loop.timer().now() + reopenDelay;
-    expireProposals();
+    failProposals(ProposeStatus::StorageFailed, [](const PendingProposal&) { return true; });
     m_state = ClusterState(0);
     m_appliedIndex = 0;
-    openReplica();
-    if (!isRunning())
-        return;
-    m_faultLogged = false;
-    m_counters.counter("quorum_failed") = 0;
-    observe::log(observe::Level::Info, "quorum-reopened", { { "index", m_replica->core()->lastIndex() } });
 }
 
 std::vector<net::Address> QuorumLog::voters() const
@@ -274,28 +261,39 @@
     logFault();
 }
 
-void QuorumLog::expireProposals()
+void QuorumLog::failProposals(ProposeStatus status, const std::function<bool(const PendingProposal&)>& fails)
 {
-    const auto now = m_loop.timer().now();
+    std::vector<ProposalCallback> failed;
     for (auto* list : { &m_pendingProposals, &m_pendingForwards }) {
-        std::vector<ProposalCallback> expired;
         for (auto pending = list->begin(); pending != list->end();) {
-            const bool isExpired = pending->second.deadline <= now || !isRunning();
-            if (isExpired)
-                expired.push_back(std::move(pending->second.callback));
-            pending = isExpired ? list->erase(pending) : std::next(pending);
+            const bool isFailed = fails(pending->second);
+            if (isFailed)
+                failed.push_back(std::move(pending->second.callback));
+            pending = isFailed ? list->erase(pending) : std::next(pending);
         }
-        const auto status = isRunning() ? ProposeStatus::NoQuorum : ProposeStatus::StorageFailed;
-        for (const auto& callback : expired)
-            callback(status, 0);
     }
+    for (const auto& callback : failed)
+        callback(status, 0);
+}
+
+void QuorumLog::expireProposals()
+{
+    if (!isRunning()) {
+        failProposals(ProposeStatus::StorageFailed, [](const PendingProposal&) { return true; });
+        return;
+    }
+    failProposals(ProposeStatus::NoQuorum,
+        [now = m_loop.timer().now()](const PendingProposal& pending) { return pending.deadline <= now; });
 }
 
 void QuorumLog::logFault()
 {
+    if (isRunning() && std::exchange(m_faultLogged, false)) {
+        m_counters.counter("quorum_failed") = 0;
+        observe::log(observe::Level::Info, "quorum-reopened", { { "index", m_replica->core()->lastIndex() } });
+    }
     if (isRunning() || !m_replica.get() || std::exchange(m_faultLogged, true))
         return;
-    m_reopenTime = m_loop.timer().now() + reopenDelay;
     m_counters.counter("quorum_failed") = 1;
     nlohmann::json fields { { "error", "contradicts-leader" } };
     if (fault())
@@ -457,22 +455,27 @@
     observe::log(observe::Level::Warn, "quorum-task-failed", { { "reason", exception.getDescription().cStr() } });
 }
 
+// An exception must not end the ticks, without which this instance would take no part until its process restarts.
 kj::Promise<void> QuorumLog::tickPeriodically()
+{
+    KJ_IF_MAYBE (exception, kj::runCatchingExceptions([this] { tick(); }))
+        taskFailed(kj::mv(*exception));
+    return m_loop.timer().afterDelay(tickInterval).then([this] { return tickPeriodically(); });
+}
+
+void QuorumLog::tick()
 {
     m_replica->tick(nowMillis());
     notifyApplied();
     expireProposals();
-    if (!isRunning()) {
-        reopenAfterFault();
-        return m_loop.timer().afterDelay(tickInterval).then([this] { return tickPeriodically(); });
-    }
+    if (!isRunning())
+        return;
     logLeaderChange();
     m_counters.counter("quorum_term") = m_replica->core()->term();
     m_counters.counter("quorum_commit_index") = m_replica->core()->commitIndex();
     m_counters.counter("quorum_leads") = isActiveLeader() ? 1 : 0;
     m_counters.counter("quorum_current") = isCurrent() ? 1 : 0;
     m_counters.counter("quorum_votes") = m_replica->core()->isVoter() ? 1 : 0;
-    return m_loop.timer().afterDelay(tickInterval).then([this] { return tickPeriodically(); });
 }
 
 void QuorumLog::transferLeadership(std::function<void()> done)
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -75,19 +75,20 @@
     void send(const QuorumMessage& message) override;
     void apply(std::uint64_t index, const QuorumEntry& entry) override;
     void restore(const QuorumSnapshot& snapshot) override;
+    void reset() override;
     std::string saveState() override;
     void taskFailed(kj::Exception&& exception) override;
 
     std::uint64_t nowMillis() const;
+    void openReplica();
     kj::Promise<void> tickPeriodically();
+    void tick();
     kj::Promise<void> tickRelayPeriodically();
     void sendRelayMessages();
     std::optional<JournalFault> fault() const
     {
         return m_replica.get() ? m_replica->fault() : std::optional<JournalFault> {};
     }
-    void openReplica();
-    void reopenAfterFault();
     Peer& peer(std::uint32_t id);
     std::string peerName(std::uint32_t id) const { return addressOf(id).text(); }
     net::Address addressOf(std::uint32_t id) const;
@@ -98,6 +99,7 @@
     void scheduleFlush();
     void notifyApplied();
     void expireProposals();
+    void failProposals(ProposeStatus status, const std::function<bool(const PendingProposal&)>& fails);
     void logFault();
     void logLeaderChange();
     void waitForApplied(std::uint64_t index, Done done);
@@ -117,7 +119,6 @@
     bool m_faultLogged = false;
     std::uint32_t m_loggedLeader = 0;
     std::uint64_t m_loggedTerm = 0;
-    kj::TimePoint m_reopenTime = kj::origin<kj::TimePoint>();
     kj::Own<QuorumReplica> m_replica; // null without a disk
     std::optional<QuorumRelay> m_relay; // without a disk only
     kj::TaskSet m_tasks; // last member, so that it is destroyed first
--- a/src/control/QuorumReplica.cpp
+++ b/src/control/QuorumReplica.cpp
@@ -5,17 +5,41 @@
 QuorumReplica::QuorumReplica(
     Options options, FileLayer& files, QuorumHost& host, QuorumCore::Random random, std::uint64_t nowMillis)
     : m_options(std::move(options))
+    , m_files(files)
     , m_host(host)
-    , m_journal(files)
+    , m_random(std::move(random))
 {
-    auto state = m_journal.open(random() | 1);
+    open(nowMillis);
+}
+
+void QuorumReplica::open(std::uint64_t nowMillis)
+{
+    m_core.reset();
+    m_appliedIndex = 0;
+    m_bytesAfterCompaction = 0;
+    m_journal.emplace(m_files);
+    auto state = m_journal->open(m_random() | 1);
     if (!state)
         return;
-    m_core.emplace(m_options.id, m_options.discoveryPeers, m_options.mayBootstrap, std::move(*state), std::move(random),
+    m_core.emplace(m_options.id, m_options.discoveryPeers, m_options.mayBootstrap, std::move(*state), m_random,
         m_options.timings, nowMillis);
+    m_core->addDiscoveryPeers({ m_addedPeers.begin(), m_addedPeers.end() });
     flush();
 }
 
+void QuorumReplica::reopenIfDue(std::uint64_t nowMillis)
+{
+    if (!fault() || fault()->error != JournalError::File)
+        return;
+    if (!m_reopenDueMillis)
+        m_reopenDueMillis = nowMillis + m_options.reopenMillis;
+    if (nowMillis < *m_reopenDueMillis)
+        return;
+    m_reopenDueMillis.reset();
+    m_host.reset();
+    open(nowMillis);
+}
+
 void QuorumReplica::receive(const QuorumMessage& message, std::uint64_t nowMillis)
 {
     if (!isRunning())
@@ -26,6 +50,7 @@
 
 void QuorumReplica::tick(std::uint64_t nowMillis)
 {
+    reopenIfDue(nowMillis);
     if (!isRunning())
         return;
     m_core->tick(nowMillis);
@@ -42,6 +67,7 @@
 
 void QuorumReplica::addDiscoveryPeers(const std::vector<std::uint32_t>& discoveryPeers)
 {
+    m_addedPeers.insert(discoveryPeers.begin(), discoveryPeers.end());
     if (m_core)
         m_core->addDiscoveryPeers(discoveryPeers);
 }
@@ -59,7 +85,7 @@
     if (!isRunning())
         return;
     for (QuorumOutput output = m_core->takeOutput(); !output.isEmpty(); output = m_core->takeOutput()) {
-        if (output.record && !m_journal.write(*output.record))
+        if (output.record && !m_journal->write(*output.record))
             return; // nothing that depends on the record may leave this instance
         m_core->confirmDurable();
         for (const auto& message : output.messages)
@@ -80,12 +106,12 @@
 {
     const bool hasManyEntries = m_appliedIndex >= m_core->snapshot().index + m_options.compactAfterEntries;
     const bool hasGrown = m_appliedIndex > m_core->snapshot().index
-        && m_journal.bytes() >= m_bytesAfterCompaction + m_options.compactAfterBytes;
+        && m_journal->bytes() >= m_bytesAfterCompaction + m_options.compactAfterBytes;
     if (!hasManyEntries && !hasGrown)
         return;
     m_core->compact(m_appliedIndex, m_host.saveState());
-    m_journal.replace(m_core->completeRecord());
-    m_bytesAfterCompaction = m_journal.bytes();
+    m_journal->replace(m_core->completeRecord());
+    m_bytesAfterCompaction = m_journal->bytes();
 }
 
 } // namespace yuccahook::control
--- a/src/control/QuorumReplica.h
+++ b/src/control/QuorumReplica.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,12 +25,16 @@
     virtual void apply(std::uint64_t index, const QuorumEntry& entry) = 0;
     virtual void restore(const QuorumSnapshot& snapshot) = 0;
 
+    /// Discards the applied state; it is rebuilt from the journal, which is opened anew after a fault.
+    virtual void reset() = 0;
+
     /// Returns the serialized applied state, for a snapshot.
     virtual std::string saveState() = 0;
 };
 
 /// One replica of the log: performs the actions of a QuorumCore in the safe order, which is journal, messages, applied
-/// state.
+/// state. After a failed file operation it opens the journal anew, as a restarted process would, because only what the
+/// file contains is then known to be durable.
 class QuorumReplica {
 public:
     struct Options {
@@ -41,14 +46,16 @@
         std::size_t compactAfterEntries = 1024;
         /// A snapshot is made once the journal has grown by this much since the last one; a disk may hold 64 MB.
         std::uint64_t compactAfterBytes = 4 << 20;
+        std::uint64_t reopenMillis = 500; ///< Between attempts to open a journal whose files can't be used.
     };
 
     /// Opens the journal. When that fails, `fault` has the reason and `core` is null.
     QuorumReplica(
         Options options, FileLayer& files, QuorumHost& host, QuorumCore::Random random, std::uint64_t nowMillis);
 
-    /// The journal's fault, after which this replica no longer takes part; nothing while there is none.
-    const std::optional<JournalFault>& fault() const { return m_journal.fault(); }
+    /// The journal's fault, after which this replica takes no part until the journal is opened anew; nothing while
+    /// there is none. Only a failed file operation is retried.
+    const std::optional<JournalFault>& fault() const { return m_journal->fault(); }
 
     /// Whether this replica takes part: its journal is usable and does not conflict with other instances' logs.
     bool isRunning() const { return m_core && !fault() && !m_core->hasLogConflict(); }
@@ -71,12 +78,18 @@
     const QuorumCore* core() const { return m_core ? &*m_core : nullptr; }
 
 private:
+    void open(std::uint64_t nowMillis);
+    void reopenIfDue(std::uint64_t nowMillis);
     void compactIfDue();
 
     const Options m_options;
+    FileLayer& m_files;
     QuorumHost& m_host;
-    Journal m_journal;
+    const QuorumCore::Random m_random;
+    std::set<std::uint32_t> m_addedPeers; // discovery peers that the settings did not have at the start
+    std::optional<Journal> m_journal;
     std::optional<QuorumCore> m_core;
+    std::optional<std::uint64_t> m_reopenDueMillis; // set while the journal's files can't be used
     std::uint64_t m_appliedIndex = 0;
     std::uint64_t m_bytesAfterCompaction = 0;
 };
--- a/tests/control/FaultyFiles.cpp
+++ b/tests/control/FaultyFiles.cpp
@@ -43,6 +43,8 @@
 {
     if (crashesNow())
         throw Crash {};
+    if (m_full)
+        return FileStatus::NoSpace;
     m_folder[name] = std::make_shared<File>();
     return FileStatus::Done;
 }
@@ -51,8 +53,9 @@
 {
     auto& file = *m_folder.at(name);
     const bool crashes = crashesNow();
-    const bool full = file.content.size() + bytes.size() > m_limitBytes;
-    file.content += crashes || full ? bytes.substr(0, bytes.size() / 2) : bytes;
+    const bool full = m_full || file.content.size() + bytes.size() > m_limitBytes;
+    const std::size_t part = m_full ? m_random() % bytes.size() : bytes.size() / 2;
+    file.content += crashes || full ? bytes.substr(0, part) : bytes;
     if (crashes)
         throw Crash {};
     return full ? FileStatus::NoSpace : FileStatus::Done;
@@ -62,6 +65,8 @@
 {
     if (crashesNow())
         throw Crash {};
+    if (m_full)
+        return FileStatus::WriteFailed;
     m_folder.at(name)->content.resize(size);
     return FileStatus::Done;
 }
@@ -82,6 +87,8 @@
 {
     if (crashesNow())
         throw Crash {};
+    if (m_full)
+        return FileStatus::NoSpace;
     m_folder[to] = m_folder.at(from);
     m_folder.erase(from);
     return FileStatus::Done;
--- a/tests/control/FaultyFiles.h
+++ b/tests/control/FaultyFiles.h
@@ -34,6 +34,9 @@
 
     /// An append that would make its file larger than this fails with `NoSpace`.
     void limitBytes(std::uint64_t bytes) { m_limitBytes = bytes; }
+
+    /// While full, files can't be created, renamed or truncated, and an append writes a part of its bytes at most.
+    void fill(bool full) { m_full = full; }
     std::uint64_t operations() const { return m_operations; }
 
     /// Reduces the files to what a crash leaves: the synced bytes, and of the others none, some or damaged ones.
@@ -68,6 +71,7 @@
     std::uint64_t m_operations = 0;
     std::uint64_t m_crashAfter = 0;
     std::uint64_t m_limitBytes = UINT64_MAX;
+    bool m_full = false;
     bool m_failSyncs = false;
     bool m_ignoreSyncs = false;
 };
--- a/tests/control/QuorumSimulation.cpp
+++ b/tests/control/QuorumSimulation.cpp
@@ -48,9 +48,7 @@
     {
         QuorumReplica::Options options { m_id, std::move(discoveryPeers), mayBootstrap, {}, compactAfterEntries };
         options.timings.preVote = m_simulation.m_mutation != Mutation::NoPreVote;
-        state = ClusterState(0);
-        pendingProposals.clear();
-        pendingOrders.clear();
+        reset();
         replica.reset();
         // With this mutation every disk of an instance has the same identity, so an empty one counts as a voter.
         const bool sameDisk = m_simulation.m_mutation == Mutation::EmptyDiskVotes;
@@ -89,6 +87,13 @@
         m_simulation.check(services.empty() || services == describe(state.membership()), "a snapshot differs");
     }
 
+    void reset() override
+    {
+        state = ClusterState(0);
+        pendingProposals.clear();
+        pendingOrders.clear();
+    }
+
     std::string saveState() override { return encodeImage(state.image()); }
 
     bool isRunning() const { return replica && replica->isRunning(); }
@@ -157,10 +162,7 @@
     m_instances.erase(id);
 }
 
-void QuorumSimulation::fillDisk(std::uint32_t id, bool full)
-{
-    m_instances.at(id)->files.limitBytes(full ? 0 : UINT64_MAX);
-}
+void QuorumSimulation::fillDisk(std::uint32_t id, bool full) { m_instances.at(id)->files.fill(full); }
 
 QuorumSimulation::~QuorumSimulation() = default;
 
@@ -395,7 +397,7 @@
             continue;
         }
         runCatchingCrash(id, [this, id = id](Instance& running) {
-            if (running.isRunning())
+            if (running.replica)
                 running.replica->tick(m_now - m_clockLagMillis[id]);
         });
         const bool opened = instance->replica && instance->replica->core();
@@ -442,7 +444,7 @@
         break;
     case 13:
         for (const auto& [any, each] : m_instances)
-            each->files.limitBytes(UINT64_MAX);
+            each->files.fill(false);
         break;
     case 0:
         crash(id);
@@ -498,7 +500,7 @@
     m_frozenUntil.clear();
     for (const auto& [id, instance] : m_instances) {
         instance->files.crashAfter(0);
-        instance->files.limitBytes(UINT64_MAX);
+        instance->files.fill(false);
         if (!instance->isRunning())
             start(id);
     }
--- a/tests/control/QuorumSimulation.h
+++ b/tests/control/QuorumSimulation.h
@@ -48,7 +48,7 @@
     /// Suspends an instance together with its clock; it loses nothing.
     void freeze(std::uint32_t id, std::uint64_t millis) { m_frozenUntil[id] = m_now + millis; }
 
-    /// Makes an instance's writes fail, or succeed again.
+    /// Makes an instance's writes fail, or succeed again. A replica that failed opens its journal anew.
     void fillDisk(std::uint32_t id, bool full);
 
     /// Ends all faults, then checks that notes are accepted again and that all instances agree.
--- a/tests/control/QuorumTest.cpp
+++ b/tests/control/QuorumTest.cpp
@@ -1,7 +1,9 @@
 #include "control/QuorumSimulation.h"
 
+#include <array>
 #include <cstdlib>
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace yuccahook::control;
 using namespace yuccahook::control::testing;
@@ -214,6 +216,53 @@
     }
 }
 
+// Guards against instances that stay outside the quorum after their disk was full, until no majority is left.
+TEST_CASE("Disks that are full one after another leave every instance in the quorum")
+{
+    constexpr std::uint64_t seeds = 40;
+    constexpr std::uint64_t acknowledgementMillis = 1000; // the bound in steady state
+    constexpr std::uint64_t longestAcknowledgementMillis = 5000; // the bound while one disk is lost
+    constexpr std::uint64_t attemptMillis = 100;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const std::uint32_t instances = std::array { 3, 5, 7 }[seed % 3];
+        QuorumSimulation simulation(seed, instances);
+        simulation.run(2000);
+        std::mt19937_64 random(seed);
+        for (std::uint32_t round = 0; round < 3 * instances; ++round) {
+            const std::uint32_t leader = simulation.leader();
+            const std::uint32_t full = random() % 2 == 0 && leader != 0 ? leader : round % instances + 1;
+            simulation.fillDisk(full, true);
+            if (random() % 4 == 0) {
+                simulation.crash(full);
+                simulation.start(full);
+            } else if (random() % 4 == 0) {
+                simulation.transferLeadership(full % instances + 1);
+            }
+            const std::uint64_t fullMillis = 1000 + random() % 4000;
+            std::uint64_t unacknowledgedMillis = 0;
+            for (std::uint64_t passed = 0; passed < fullMillis; passed += attemptMillis) {
+                const std::string domain = "domain-" + std::to_string(round);
+                const auto order = simulation.evacuate(random() % instances + 1, domain, passed % 200 == 0);
+                simulation.run(attemptMillis);
+                const bool acknowledged = simulation.acknowledgedOrders().contains(order);
+                unacknowledgedMillis = acknowledged ? 0 : unacknowledgedMillis + attemptMillis;
+                CHECK(unacknowledgedMillis < longestAcknowledgementMillis);
+            }
+            simulation.fillDisk(full, false);
+            simulation.run(random() % 1500);
+        }
+        simulation.run(longestAcknowledgementMillis);
+        INFO("seed ", seed);
+        CHECK(simulation.isFullyReplicated());
+        for (std::uint32_t id = 1; id <= instances; ++id) {
+            const auto order = simulation.evacuate(id, "after", id % 2 == 1);
+            simulation.run(acknowledgementMillis);
+            CHECK(simulation.acknowledgedOrders().contains(order));
+        }
+        CHECK(simulation.violations().empty());
+    }
+}
+
 TEST_CASE("The voters of a quorum change with its instances")
 {
     QuorumSimulation simulation(11, 3);
