A data folder that can't be locked while the disk is full is locked later

What operators would see: an instance with an empty disk that is full when its process starts ends, as often as it is started. Cause: a lock file that could not be created was treated like a folder in use by another process; the folder itself was created only once, when the process started. Why this mends it: only a folder in use ends the process. JournalReportTest 'a folder that can't be created at first is locked once it can': the second lock failed before, as the folder was not created again.

--- a/src/control/FileLayer.cpp
+++ b/src/control/FileLayer.cpp
@@ -20,8 +20,6 @@
 FolderFiles::FolderFiles(std::string folder)
     : m_folder(std::move(folder))
 {
-    std::error_code ignored; // a failure shows at the first file operation
-    std::filesystem::create_directories(m_folder, ignored);
 }
 
 FolderFiles::~FolderFiles()
@@ -34,6 +32,8 @@
 
 FileStatus FolderFiles::lock()
 {
+    std::error_code ignored; // a failure shows when the lock file is opened
+    std::filesystem::create_directories(m_folder, ignored);
     m_lock = ::open((m_folder + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, fileMode);
     if (m_lock < 0)
         return FileStatus::WriteFailed;
--- a/src/control/FileLayer.h
+++ b/src/control/FileLayer.h
@@ -33,13 +33,14 @@
     virtual FileStatus syncFolder() = 0;
 };
 
-/// A folder of the file system. It is created when it is missing, and can be locked against a second process.
+/// A folder of the file system, which can be locked against a second process.
 class FolderFiles final : public FileLayer {
 public:
     explicit FolderFiles(std::string folder);
     ~FolderFiles() override;
 
-    /// Locks the folder until destruction; `InUse` when another process has locked it.
+    /// Locks the folder until destruction, and creates it when it is missing; `InUse` when another process has locked
+    /// it. Can be repeated after another failure.
     FileStatus lock();
 
     FileStatus read(const std::string& name, std::string& content) override;
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -26,8 +26,8 @@
     using ProposalCallback = std::function<void(ProposeStatus, std::uint64_t index)>;
 
     /// `applied` is called after entries were applied to `state`. With an empty `settings.data` this instance stores
-    /// nothing and does not vote. Throws when the data folder can't be locked or its journal is damaged or not one of
-    /// this release; a failed file operation is retried instead.
+    /// nothing and does not vote. Throws when another process uses the data folder or its journal is damaged or not one
+    /// of this release; a failed file operation is retried instead.
     QuorumLog(const settings::ControlSettings& settings, net::EventLoop& loop, ClusterState& state,
         observe::Counters& counters, std::function<void()> applied);
     ~QuorumLog() noexcept override;
@@ -119,7 +119,7 @@
     bool m_faultLogged = false;
     std::uint32_t m_loggedLeader = 0;
     std::uint64_t m_loggedTerm = 0;
-    kj::Own<QuorumReplica> m_replica; // null without a disk
+    kj::Own<QuorumReplica> m_replica; // null without a disk and until the data folder is locked
     std::optional<QuorumRelay> m_relay; // without a disk only
     kj::TaskSet m_tasks; // last member, so that it is destroyed first
 };
--- a/tests/control/JournalReportTest.cpp
+++ b/tests/control/JournalReportTest.cpp
@@ -30,6 +30,18 @@
         CHECK(other.lock() == FileStatus::InUse);
     }
 
+    // Guards against a process that ends because its disk is full while it starts.
+    SUBCASE("a folder that can't be created at first is locked once it can")
+    {
+        const std::string blocked = folder + "/blocked";
+        std::ofstream(blocked) << "a file in place of the folder";
+        FolderFiles later(blocked);
+        CHECK(later.lock() == FileStatus::WriteFailed);
+        std::filesystem::remove(blocked);
+        CHECK(later.lock() == FileStatus::Done);
+        CHECK(Journal(later).open(7));
+    }
+
     SUBCASE("another Journal reads the same state")
     {
         const auto state = Journal(files).open(6);
