Tests: a read at any instance has what was acknowledged before it began

The simulation of the quorum had no reads: it now orders one at a random instance every tenth step, through the leader that the instance knows, under all random faults, and compares with the notes accepted when the read began. Once faults have ended, every instance answers one. A read that does not wait for its own entry is detected.

--- a/tests/control/QuorumSimulation.cpp
+++ b/tests/control/QuorumSimulation.cpp
@@ -69,6 +69,9 @@
         m_simulation.checkApplied(m_id, index, entry, state);
         if (const auto order = pendingOrders.extract(index); !order.empty() && order.mapped().first == entry.term)
             m_simulation.m_acknowledgedOrders.insert(order.mapped().second);
+        if (const auto read = pendingBarriers.extract(index); !read.empty() && read.mapped().term == entry.term)
+            m_simulation.finishBarrier(read.mapped(), index);
+        m_simulation.checkReads(m_id, index, state);
         const auto pending = pendingProposals.find(index);
         if (pending == pendingProposals.end())
             return;
@@ -85,6 +88,7 @@
         state = ClusterState(*image);
         const auto& services = m_simulation.m_servicesAtRevision[state.membership().revision];
         m_simulation.check(services.empty() || services == describe(state.membership()), "a snapshot differs");
+        m_simulation.checkReads(m_id, snapshot.index, state);
     }
 
     void reset() override
@@ -92,6 +96,9 @@
         state = ClusterState(0);
         pendingProposals.clear();
         pendingOrders.clear();
+        pendingBarriers.clear();
+        reads.clear();
+        appliedIndex = 0;
     }
 
     std::string saveState() override { return encodeImage(state.image()); }
@@ -104,6 +111,9 @@
     std::map<std::uint64_t, std::pair<std::uint64_t, std::string>> pendingProposals; // term and note by index
     std::map<std::string, std::uint64_t> submittedNumbers; // number by note
     std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> pendingOrders; // term and number by index
+    std::map<std::uint64_t, Barrier> pendingBarriers; // of reads here or at instances that forwarded them, by index
+    std::uint64_t appliedIndex = 0;
+    std::multimap<std::uint64_t, std::uint64_t> reads; // expected revision by the index that must be applied first
 
 private:
     QuorumSimulation& m_simulation;
@@ -271,6 +281,56 @@
     return accepted;
 }
 
+// The running instance that an instance takes for the leader; 0 when there is none or the link to it is cut.
+std::uint32_t QuorumSimulation::reachableLeader(std::uint32_t id) const
+{
+    const std::uint32_t leaderId = m_instances.at(id)->isRunning() ? core(id).leader() : 0;
+    const bool isReachable = leaderId != 0 && m_instances.contains(leaderId) && m_instances.at(leaderId)->isRunning()
+        && !m_droppedLinks.contains({ id, leaderId });
+    return isReachable ? leaderId : 0;
+}
+
+void QuorumSimulation::read(std::uint32_t id)
+{
+    const std::uint32_t leaderId = reachableLeader(id);
+    if (leaderId == 0)
+        return;
+    if (m_mutation == Mutation::ReadWithoutBarrier) {
+        const auto& state = m_instances.at(id)->state;
+        check(state.membership().revision >= m_acceptedRevision, "a read is older than an acknowledgement");
+        return;
+    }
+    runCatchingCrash(leaderId, [&](Instance& instance) {
+        const auto proposed = instance.replica->propose(encodeCommand(yuccahook::control::Barrier {}));
+        if (!proposed)
+            return;
+        instance.pendingBarriers[proposed->first] = { proposed->second, id, m_acceptedRevision };
+        instance.replica->flush();
+    });
+}
+
+// The instance that was read replies once it has applied the entry itself.
+void QuorumSimulation::finishBarrier(const Barrier& barrier, std::uint64_t index)
+{
+    const auto reader = m_instances.find(barrier.reader);
+    if (reader == m_instances.end() || !reader->second->isRunning())
+        return;
+    reader->second->reads.emplace(index, barrier.acceptedRevision);
+    checkReads(barrier.reader, reader->second->appliedIndex, reader->second->state);
+}
+
+void QuorumSimulation::checkReads(std::uint32_t id, std::uint64_t appliedIndex, const ClusterState& state)
+{
+    auto& instance = *m_instances.at(id);
+    instance.appliedIndex = appliedIndex;
+    while (!instance.reads.empty() && instance.reads.begin()->first <= appliedIndex) {
+        const std::uint64_t expectedRevision = instance.reads.begin()->second;
+        instance.reads.erase(instance.reads.begin());
+        check(state.membership().revision >= expectedRevision, "a read is older than an acknowledgement");
+        ++m_reads;
+    }
+}
+
 std::uint64_t QuorumSimulation::evacuate(std::uint32_t id, const std::string& domain, bool active)
 {
     if (const auto relay = m_relays.find(id); relay != m_relays.end()) {
@@ -279,9 +339,8 @@
     }
     if (!m_instances.at(id)->isRunning())
         return 0;
-    const std::uint32_t leaderId = core(id).leader();
-    if (leaderId == 0 || !m_instances.contains(leaderId) || !m_instances.at(leaderId)->isRunning()
-        || m_droppedLinks.contains({ id, leaderId }))
+    const std::uint32_t leaderId = reachableLeader(id);
+    if (leaderId == 0)
         return 0;
     std::uint64_t number = 0;
     runCatchingCrash(leaderId, [&](Instance& instance) {
@@ -322,6 +381,7 @@
         accepted->second.firstAnsweredMillis = m_now;
         accepted->second.revision = outcome.revision;
         accepted->second.content = outcome.acceptedAuthor;
+        m_acceptedRevision = std::max(m_acceptedRevision, outcome.revision);
     }
     check(accepted->second.revision == outcome.revision, "two answers to one note differ");
     check(accepted->second.content == outcome.acceptedAuthor, "two notes of one number were accepted");
@@ -481,6 +541,8 @@
             causeFault();
         if (below(10) == 0)
             submit(1 + below(40), below(3));
+        if (below(10) == 0)
+            read(anyInstance());
         std::vector<std::uint32_t> stopped;
         for (const auto& [id, instance] : m_instances) {
             if (!instance->isRunning())
@@ -509,6 +571,12 @@
     check(submit(finalNoteNumber, 0), "no leader accepts proposals once faults have ended");
     run(1000);
     check(m_accepted.contains(finalNoteNumber), "a note is not accepted once faults have ended");
+    const std::uint64_t readsBefore = m_reads;
+    for (const auto& [id, instance] : m_instances)
+        read(id);
+    run(1000);
+    const bool allRead = m_reads == readsBefore + m_instances.size() || m_mutation == Mutation::ReadWithoutBarrier;
+    check(allRead, "an instance does not answer a read once faults have ended");
     checkOrder();
 }
 
--- a/tests/control/QuorumSimulation.h
+++ b/tests/control/QuorumSimulation.h
@@ -17,7 +17,7 @@
 namespace yuccahook::control::testing {
 
 /// Deliberate defects that the simulation's checks must detect.
-enum class Mutation { None, AckBeforeSync, EmptyDiskVotes, NoPreVote, LowerRevisionApplied };
+enum class Mutation { None, AckBeforeSync, EmptyDiskVotes, NoPreVote, LowerRevisionApplied, ReadWithoutBarrier };
 
 /// Runs real replicas over a faulty network and faulty disks in virtual time, with operators that submit notes and a
 /// subscriber that follows revisions, and collects the violations of what must always hold.
@@ -75,6 +75,10 @@
     std::uint64_t evacuate(std::uint32_t id, const std::string& domain, bool active);
     const std::set<std::uint64_t>& acknowledgedOrders() const { return m_acknowledgedOrders; }
 
+    /// Reads the state at an instance, as operators do: an entry of the log orders the read after all acknowledgements
+    /// so far. Checks that the state read has all notes that were accepted before.
+    void read(std::uint32_t id);
+
     /// An instance without a disk.
     const QuorumRelay& relay(std::uint32_t id) const { return m_relays.at(id); }
 
@@ -98,6 +102,7 @@
 
     std::uint64_t accepted() const { return m_accepted.size(); }
     std::uint64_t commits() const { return m_committed.size(); }
+    std::uint64_t reads() const { return m_reads; }
     std::uint64_t disksLost() const { return m_disksLost; }
     std::uint64_t termsStarted() const { return m_leaderOfTerm.size(); }
     const std::set<std::string>& violations() const { return m_violations; }
@@ -127,6 +132,16 @@
     void causeFault();
     void subscribe();
     void checkApplied(std::uint32_t id, std::uint64_t index, const QuorumEntry& entry, ClusterState& state);
+    /// An entry that orders a read.
+    struct Barrier {
+        std::uint64_t term = 0;
+        std::uint32_t reader = 0;
+        std::uint64_t acceptedRevision = 0; // when the read began
+    };
+
+    void finishBarrier(const Barrier& barrier, std::uint64_t index);
+    std::uint32_t reachableLeader(std::uint32_t id) const;
+    void checkReads(std::uint32_t id, std::uint64_t appliedIndex, const ClusterState& state);
     void recordOutcome(std::uint64_t number, const NoteOutcome& outcome);
     void checkOrder();
     void check(bool condition, const char* violation);
@@ -153,6 +168,8 @@
     std::map<std::uint64_t, std::string> m_servicesAtRevision;
     std::map<std::uint64_t, NoteHistory> m_submitted; // by number
     std::map<std::uint64_t, NoteHistory> m_accepted;
+    std::uint64_t m_acceptedRevision = 0; // highest revision of an accepted note
+    std::uint64_t m_reads = 0;
     std::uint64_t m_subscribedRevision = 0;
     std::uint64_t m_disksLost = 0;
     std::map<std::uint32_t, std::size_t> m_sentBytes; // by receiver
--- a/tests/control/QuorumTest.cpp
+++ b/tests/control/QuorumTest.cpp
@@ -427,6 +427,11 @@
         CHECK(seedThatDetects(Mutation::LowerRevisionApplied, "subscriber's revision decreased") > 0);
     }
 
+    SUBCASE("a read that does not wait for an entry of its own is detected")
+    {
+        CHECK(seedThatDetects(Mutation::ReadWithoutBarrier, "a read is older than an acknowledgement") != 0);
+    }
+
     SUBCASE("without pre-votes a partly cut off follower raises the term")
     {
         QuorumSimulation simulation(7, 3, Mutation::NoPreVote);
