A call for changes is given up for silence, not for the time that its reply takes

What callers saw: routes that were acknowledged and are not served, at balancers on thin links. Cause: a subscriber gave a call 1.2 s in all, of which the control instance holds it for up to 0.5 s. What did not fit was given up while bytes arrived and requested anew from the start, by every balancer at once; a state over some 300 kB could never be taken. Why this mends it: the limit of 1.2 s now starts again with each part that arrives, so that only a silent instance is left. MeteredStream measures each part as it arrives.

--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -16,12 +16,15 @@
 constexpr std::size_t queueBound = 1024;
 constexpr auto connectTimeout = 500 * kj::MILLISECONDS;
 constexpr auto retryDelay = 50 * kj::MILLISECONDS; // short, since all processes start together after a power failure
-constexpr auto changesTimeout = 1200 * kj::MILLISECONDS; // longer than a control instance holds the call
+// without a byte of the reply; longer than a control instance holds the call
+constexpr auto changesTimeout = 1200 * kj::MILLISECONDS;
 constexpr auto announceTimeout = 1 * kj::SECONDS;
 constexpr std::size_t maximumAddresses = 32; // several times the control instances of a site
 constexpr auto announceInterval = 2 * kj::SECONDS;
 constexpr auto announceRetry = 200 * kj::MILLISECONDS;
 
+using Changes = capnp::Response<schema::Control::ChangesResults>;
+
 std::int64_t nowMillis()
 {
     const auto now = std::chrono::steady_clock::now().time_since_epoch();
@@ -182,18 +185,20 @@
         for (const auto& name : *m_services)
             names.set(index++, name);
     }
-    return m_loop->timer().timeoutAfter(changesTimeout, request.send()).then([this, requestedFull](auto response) {
-        const auto status = static_cast<ChangesStatus>(response.getStatus());
-        if (status == ChangesStatus::NotCurrent) {
-            addNewAddresses(readDelta(response.getView()).controlAddresses);
-            KJ_FAIL_REQUIRE("control instance is not in contact with a quorum");
-        }
-        m_lastContactMillis = nowMillis();
-        if (!std::exchange(m_connected, true))
-            observe::log(observe::Level::Info, "control-contact", { { "address", m_connectedTo.text() } });
-        if (status == ChangesStatus::Newer)
-            handleDelta(readDelta(response.getView()), requestedFull);
-    });
+    kj::Promise<Changes> reply = request.send();
+    return m_connection->stream.whileReceiving(kj::mv(reply), changesTimeout)
+        .then([this, requestedFull](Changes response) {
+            const auto status = static_cast<ChangesStatus>(response.getStatus());
+            if (status == ChangesStatus::NotCurrent) {
+                addNewAddresses(readDelta(response.getView()).controlAddresses);
+                KJ_FAIL_REQUIRE("control instance is not in contact with a quorum");
+            }
+            m_lastContactMillis = nowMillis();
+            if (!std::exchange(m_connected, true))
+                observe::log(observe::Level::Info, "control-contact", { { "address", m_connectedTo.text() } });
+            if (status == ChangesStatus::Newer)
+                handleDelta(readDelta(response.getView()), requestedFull);
+        });
 }
 
 void ControlClient::handleDelta(const flow::MembershipDelta& delta, bool requestedFull)
--- a/src/net/MeteredStream.cpp
+++ b/src/net/MeteredStream.cpp
@@ -23,6 +23,14 @@
     m_receivedBytes += count;
 }
 
+kj::Promise<void> MeteredStream::waitForSilence(kj::Duration limit)
+{
+    const kj::TimePoint due = m_lastReceived + limit;
+    if (due <= m_timer.now())
+        return kj::READY_NOW;
+    return m_timer.atTime(due).then([this, limit] { return waitForSilence(limit); });
+}
+
 // Reads what has arrived instead of waiting for all of a large message, so that each part is measured when it arrives.
 kj::Promise<std::size_t> MeteredStream::tryRead(void* buffer, std::size_t minimum, std::size_t maximum)
 {
--- a/src/net/MeteredStream.h
+++ b/src/net/MeteredStream.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <kj/async-io.h>
+#include <kj/debug.h>
 #include <kj/timer.h>
 
 namespace yuccahook::net {
@@ -21,6 +22,15 @@
     /// Bytes received since the start of the measurement.
     std::uint64_t receivedBytes() const { return m_receivedBytes; }
 
+    /// Fails when nothing is received for `limit` while `reply` is awaited. A large reply may thus take as long as the
+    /// link needs, while a silent sender is noticed soon.
+    template <typename Reply> kj::Promise<Reply> whileReceiving(kj::Promise<Reply> reply, kj::Duration limit)
+    {
+        return reply.exclusiveJoin(waitForSilence(limit).then([]() -> kj::Promise<Reply> {
+            return KJ_EXCEPTION(OVERLOADED, "nothing was received within the time limit");
+        }));
+    }
+
     /// Milliseconds from the first to the last of these bytes.
     std::uint64_t transferMillis() const;
 
@@ -36,6 +46,7 @@
 
 private:
     void recordReceived(std::size_t count);
+    kj::Promise<void> waitForSilence(kj::Duration limit);
 
     kj::Own<kj::AsyncIoStream> m_inner;
     kj::Timer& m_timer;
