Addresses of control instances: told ones are kept, unspecified ones are not sent

Cause: reading the change again. An instance without a disk dropped the port of addresses that its settings name after its start, which matters where instances listen on different ports; a hello from an instance that listens on all addresses would have told others to call themselves; quorum_failed stayed 0 while a data folder can't be locked. Change: addPeer keeps addresses from the settings and from hellos; an unspecified address is left out.

--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -37,6 +37,9 @@
     return ids;
 }
 
+// Whether a socket with this address accepts connections to every address of its machine.
+bool isUnspecified(const net::Address& address) { return address.host() == "0.0.0.0" || address.host() == "::"; }
+
 nlohmann::json describe(const JournalFault& fault)
 {
     return { { "error", kernel::nameOf(fault.error) }, { "file", kernel::nameOf(fault.file) },
@@ -98,6 +101,7 @@
     const FileStatus locked = m_files.lock();
     KJ_REQUIRE(locked != FileStatus::InUse, "the data folder is in use", m_settings.data.c_str());
     if (locked != FileStatus::Done) {
+        m_counters.counter("quorum_failed") = 1;
         if (!std::exchange(m_faultLogged, true))
             observe::log(observe::Level::Error, "quorum-failed",
                 { { "error", kernel::nameOf(JournalError::File) }, { "file", kernel::nameOf(locked) } });
@@ -153,20 +157,28 @@
 {
     std::vector<std::uint32_t> ids;
     ids.reserve(addresses.size());
-    for (const auto& address : addresses)
+    for (const auto& address : addresses) {
         ids.push_back(idOf(address));
+        addPeer(ids.back(), address);
+    }
     if (m_replica.get())
         m_replica->addDiscoveryPeers(ids);
     if (m_relay)
         m_relay->addDiscoveryPeers(ids);
 }
 
+// Keeps the address of an instance that the settings do not list.
+void QuorumLog::addPeer(std::uint32_t id, const net::Address& address)
+{
+    if (id != m_settings.id && !m_peers.contains(id))
+        m_peers[id] = kj::heap<Peer>(Peer { address });
+}
+
 // Where operators on other machines call this instance.
 net::Address QuorumLog::operatorAddress() const
 {
     net::Address address = m_settings.operatorAddress;
-    const bool listensOnAll = address.host() == "0.0.0.0" || address.host() == "::";
-    if (listensOnAll) {
+    if (isUnspecified(address)) {
         address.high = m_settings.listen.high;
         address.low = m_settings.listen.low;
     }
@@ -361,8 +373,8 @@
         m_counters.counter("quorum_messages_refused_total", "reason", "malformed") += 1;
         return;
     }
-    if (message->rpcAddress.isSet() && message->from != m_settings.id && !m_peers.contains(message->from))
-        m_peers[message->from] = kj::heap<Peer>(Peer { message->rpcAddress });
+    if (message->rpcAddress.isSet())
+        addPeer(message->from, message->rpcAddress);
     if (m_relay) {
         m_relay->receive(*message, nowMillis());
         sendRelayMessages();
@@ -390,7 +402,7 @@
 // Adds the addresses of this instance, which only hellos and their replies have.
 QuorumMessage QuorumLog::withAddresses(QuorumMessage message) const
 {
-    if (message.kind == MessageKind::Hello)
+    if (message.kind == MessageKind::Hello && !isUnspecified(m_settings.listen))
         message.rpcAddress = m_settings.listen;
     if (message.kind == MessageKind::HelloReply && message.disk != 0)
         message.operatorAddress = operatorAddress();
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -92,6 +92,7 @@
     Peer& peer(std::uint32_t id);
     std::string peerName(std::uint32_t id) const { return addressOf(id).text(); }
     net::Address addressOf(std::uint32_t id) const;
+    void addPeer(std::uint32_t id, const net::Address& address);
     net::Address operatorAddress() const;
     QuorumMessage withAddresses(QuorumMessage message) const;
     void connect(Peer& peer);
