--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -1,6 +1,7 @@
 #include "control/ControlClient.h"
 
 #include "control/MembershipCodec.h"
+#include "net/MeteredStream.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -15,12 +16,15 @@
 constexpr std::size_t queueBound = 1024;
 constexpr auto connectTimeout = 500 * kj::MILLISECONDS;
 constexpr auto retryDelay = 50 * kj::MILLISECONDS; // short, since all processes start together after a power failure
-constexpr auto changesTimeout = 1200 * kj::MILLISECONDS; // longer than a control instance holds the call
+// without a byte of the reply; longer than a control instance holds the call
+constexpr auto changesTimeout = 1200 * kj::MILLISECONDS;
 constexpr auto announceTimeout = 1 * kj::SECONDS;
 constexpr std::size_t maximumAddresses = 32; // several times the control instances of a site
 constexpr auto announceInterval = 2 * kj::SECONDS;
 constexpr auto announceRetry = 200 * kj::MILLISECONDS;
 
+using Changes = capnp::Response<schema::Control::ChangesResults>;
+
 std::int64_t nowMillis()
 {
     const auto now = std::chrono::steady_clock::now().time_since_epoch();
@@ -31,13 +35,13 @@
 
 /// One RPC connection to a control instance.
 struct ControlClient::Connection {
-    kj::Own<kj::AsyncIoStream> stream;
+    net::MeteredStream stream;
     capnp::TwoPartyClient rpc;
     schema::Control::Client control;
 
-    explicit Connection(kj::Own<kj::AsyncIoStream> connected)
-        : stream(kj::mv(connected))
-        , rpc(*stream)
+    Connection(kj::Own<kj::AsyncIoStream> connected, kj::Timer& timer)
+        : stream(kj::mv(connected), timer)
+        , rpc(stream)
         , control(rpc.bootstrap().castAs<schema::Control>())
     {
     }
@@ -100,7 +104,8 @@
     observe::log(observe::Level::Info, "membership",
         { { "revision", membership->revision }, { "routeVersion", membership->routeVersion },
             { "routes", membership->routes.size() }, { "members", membership->members.size() },
-            { "from", m_connectedTo.text() } });
+            { "from", m_connectedTo.text() }, { "bytes", m_connection->stream.receivedBytes() },
+            { "transferMillis", m_connection->stream.transferMillis() } });
     for (const auto& listener : m_listeners)
         listener(membership);
 }
@@ -126,15 +131,26 @@
     return connect(m_nextAddress++)
         .then([this] { return followChanges(); })
         .catch_([this](kj::Exception&& exception) {
+            const bool wasReceiving = m_connection && m_connection->stream.transferMillis() > 0;
+            if (std::exchange(m_connected, false) || wasReceiving)
+                logContactLost(exception);
             m_connection = nullptr;
-            if (std::exchange(m_connected, false))
-                observe::log(
-                    observe::Level::Warn, "control-contact-lost", { { "reason", exception.getDescription().cStr() } });
         })
         .then([this] { return m_loop->timer().afterDelay(retryDelay); })
         .then([this] { return keepConnected(); });
 }
 
+// Bytes that arrived before a time limit passed tell a reply that is too large for the link from a silent instance.
+void ControlClient::logContactLost(const kj::Exception& exception) const
+{
+    nlohmann::json fields { { "reason", exception.getDescription().cStr() }, { "address", m_connectedTo.text() } };
+    if (m_connection) {
+        fields["bytes"] = m_connection->stream.receivedBytes();
+        fields["transferMillis"] = m_connection->stream.transferMillis();
+    }
+    observe::log(observe::Level::Warn, "control-contact-lost", fields);
+}
+
 kj::Promise<void> ControlClient::connect(std::size_t attempt)
 {
     const net::Address address = m_addresses[attempt % m_addresses.size()];
@@ -144,7 +160,7 @@
     auto connecting = target->connect().attach(kj::mv(target));
     return m_loop->timer().timeoutAfter(connectTimeout, kj::mv(connecting)).then([this, address](auto stream) {
         m_connectedTo = address;
-        m_connection = kj::heap<Connection>(kj::mv(stream));
+        m_connection = kj::heap<Connection>(kj::mv(stream), m_loop->timer());
     });
 }
 
@@ -158,6 +174,7 @@
 kj::Promise<void> ControlClient::requestChanges()
 {
     const bool requestedFull = m_needsFullDelta;
+    m_connection->stream.restart();
     auto request = m_connection->control.changesRequest();
     request.setSubscriber(m_subscriber);
     request.setAfter(requestedFull ? 0 : membership()->revision);
@@ -168,15 +185,20 @@
         for (const auto& name : *m_services)
             names.set(index++, name);
     }
-    return m_loop->timer().timeoutAfter(changesTimeout, request.send()).then([this, requestedFull](auto response) {
-        const auto status = static_cast<ChangesStatus>(response.getStatus());
-        KJ_REQUIRE(status != ChangesStatus::NotCurrent, "control instance is not in contact with a quorum");
-        m_lastContactMillis = nowMillis();
-        if (!std::exchange(m_connected, true))
-            observe::log(observe::Level::Info, "control-contact", { { "address", m_connectedTo.text() } });
-        if (status == ChangesStatus::Newer)
-            handleDelta(readDelta(response.getView()), requestedFull);
-    });
+    kj::Promise<Changes> reply = request.send();
+    return m_connection->stream.whileReceiving(kj::mv(reply), changesTimeout)
+        .then([this, requestedFull](Changes response) {
+            const auto status = static_cast<ChangesStatus>(response.getStatus());
+            if (status == ChangesStatus::NotCurrent) {
+                addNewAddresses(readDelta(response.getView()).controlAddresses);
+                KJ_FAIL_REQUIRE("control instance is not in contact with a quorum");
+            }
+            m_lastContactMillis = nowMillis();
+            if (!std::exchange(m_connected, true))
+                observe::log(observe::Level::Info, "control-contact", { { "address", m_connectedTo.text() } });
+            if (status == ChangesStatus::Newer)
+                handleDelta(readDelta(response.getView()), requestedFull);
+        });
 }
 
 void ControlClient::handleDelta(const flow::MembershipDelta& delta, bool requestedFull)
--- a/src/control/QuorumCodec.cpp
+++ b/src/control/QuorumCodec.cpp
@@ -124,6 +124,9 @@
     message.echo = reader.getEcho();
     message.entries = readEntries(reader.getEntries());
     message.snapshot = readSnapshot(reader.getSnapshot());
+    message.leader = reader.getLeader();
+    message.operatorAddress = net::readEndpoint(reader.getOperatorAddress());
+    message.rpcAddress = net::readEndpoint(reader.getRpcAddress());
     return message;
 }
 
@@ -160,6 +163,11 @@
     writeEntries(builder, message.entries);
     if (message.kind == MessageKind::Snapshot)
         writeSnapshot(builder.initSnapshot(), message.snapshot);
+    builder.setLeader(message.leader);
+    if (message.operatorAddress.isSet())
+        net::writeEndpoint(builder.initOperatorAddress(), message.operatorAddress);
+    if (message.rpcAddress.isSet())
+        net::writeEndpoint(builder.initRpcAddress(), message.rpcAddress);
     return flatten(arena);
 }
 
--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr auto tickInterval = 20 * kj::MILLISECONDS;
+constexpr auto relayTickInterval = 100 * kj::MILLISECONDS;
 constexpr auto connectTimeout = 500 * kj::MILLISECONDS; // one election timeout
 constexpr auto messageTimeout = 800 * kj::MILLISECONDS; // a connection without a reply for this long is replaced
-constexpr auto reopenDelay = 500 * kj::MILLISECONDS; // between attempts to reopen a journal that failed
 constexpr auto proposalTimeout = 5 * kj::SECONDS;
 constexpr auto leadershipTransferTimeout = 1 * kj::SECONDS;
 constexpr std::size_t maximumMessagesInFlight = 128;
@@ -37,6 +37,9 @@
     return ids;
 }
 
+// Whether a socket with this address accepts connections to every address of its machine.
+bool isUnspecified(const net::Address& address) { return address.host() == "0.0.0.0" || address.host() == "::"; }
+
 nlohmann::json describe(const JournalFault& fault)
 {
     return { { "error", kernel::nameOf(fault.error) }, { "file", kernel::nameOf(fault.file) },
@@ -81,19 +84,29 @@
 {
     for (const auto& other : settings.peers)
         m_peers[other.id] = kj::heap<Peer>(Peer { other.address });
-    if (settings.data.empty())
+    if (settings.data.empty()) {
+        m_relay.emplace(settings.id, idsOf(settings.peers));
+        m_tasks.add(tickRelayPeriodically());
         return;
-    const FileStatus locked = m_files.lock();
-    KJ_REQUIRE(locked == FileStatus::Done, "the data folder can't be locked", settings.data.c_str(),
-        std::string(kernel::nameOf(locked)).c_str());
+    }
     openReplica();
     if (fault() && fault()->error != JournalError::File)
         KJ_FAIL_REQUIRE("the journal can't be used", describe(*fault()).dump().c_str());
     m_tasks.add(tickPeriodically());
 }
 
+// Without the lock file, which a full disk may not take, this instance waits as for its journal.
 void QuorumLog::openReplica()
 {
+    const FileStatus locked = m_files.lock();
+    KJ_REQUIRE(locked != FileStatus::InUse, "the data folder is in use", m_settings.data.c_str());
+    if (locked != FileStatus::Done) {
+        m_counters.counter("quorum_failed") = 1;
+        if (!std::exchange(m_faultLogged, true))
+            observe::log(observe::Level::Error, "quorum-failed",
+                { { "error", kernel::nameOf(JournalError::File) }, { "file", kernel::nameOf(locked) } });
+        return;
+    }
     QuorumReplica::Options options;
     options.id = m_settings.id;
     options.discoveryPeers = idsOf(m_settings.peers);
@@ -106,35 +119,29 @@
         options, m_files, static_cast<QuorumHost&>(*this), QuorumCore::Random(random), nowMillis());
 }
 
-// Opens the journal again and rebuilds the state from it, as a restarted process would. After a failed write only what
-// the file contains is known to be durable.
-void QuorumLog::reopenAfterFault()
+void QuorumLog::reset()
 {
-    const bool isTransient = fault() && fault()->error == JournalError::File;
-    if (!isTransient || m_loop.timer().now() < m_reopenTime)
-        return;
-    m_reopenTime = m_loop.timer().now() + reopenDelay;
-    expireProposals();
+    failProposals(ProposeStatus::StorageFailed, [](const PendingProposal&) { return true; });
     m_state = ClusterState(0);
     m_appliedIndex = 0;
-    openReplica();
-    if (!isRunning())
-        return;
-    m_faultLogged = false;
-    m_counters.counter("quorum_failed") = 0;
-    observe::log(observe::Level::Info, "quorum-reopened", { { "index", m_replica->core()->lastIndex() } });
 }
 
 std::vector<net::Address> QuorumLog::voters() const
 {
     std::vector<net::Address> addresses;
-    if (!isRunning())
+    if (!isRunning() && !m_relay)
         return addresses;
-    for (const auto& [id, disk] : m_replica->core()->configuration().voters)
+    for (const auto& [id, disk] : m_relay ? m_relay->voters() : m_replica->core()->configuration().voters)
         addresses.push_back(addressOf(id));
     return addresses;
 }
 
+std::optional<net::Address> QuorumLog::operatorTarget() const
+{
+    const auto target = m_relay ? m_relay->requestTarget(nowMillis()) : std::nullopt;
+    return target ? std::optional(target->operatorAddress) : std::nullopt;
+}
+
 net::Address QuorumLog::addressOf(std::uint32_t id) const
 {
     const auto known = m_peers.find(id);
@@ -150,16 +157,32 @@
 {
     std::vector<std::uint32_t> ids;
     ids.reserve(addresses.size());
-    for (const auto& address : addresses)
+    for (const auto& address : addresses) {
         ids.push_back(idOf(address));
-    if (m_replica.get()) {
-        m_replica->addDiscoveryPeers(ids);
-        return;
+        addPeer(ids.back(), address);
     }
-    for (std::size_t index = 0; index < ids.size(); ++index) {
-        if (ids[index] != m_settings.id && !m_peers.contains(ids[index]))
-            m_peers[ids[index]] = kj::heap<Peer>(Peer { addresses[index] });
+    if (m_replica.get())
+        m_replica->addDiscoveryPeers(ids);
+    if (m_relay)
+        m_relay->addDiscoveryPeers(ids);
+}
+
+// Keeps the address of an instance that the settings do not list.
+void QuorumLog::addPeer(std::uint32_t id, const net::Address& address)
+{
+    if (id != m_settings.id && !m_peers.contains(id))
+        m_peers[id] = kj::heap<Peer>(Peer { address });
+}
+
+// Where operators on other machines call this instance.
+net::Address QuorumLog::operatorAddress() const
+{
+    net::Address address = m_settings.operatorAddress;
+    if (isUnspecified(address)) {
+        address.high = m_settings.listen.high;
+        address.low = m_settings.listen.low;
     }
+    return address;
 }
 
 QuorumLog::Peer& QuorumLog::peer(std::uint32_t id)
@@ -184,10 +207,6 @@
 void QuorumLog::propose(const Command& command, Done done)
 {
     std::string bytes = encodeCommand(command);
-    if (!m_replica.get() && std::holds_alternative<SetEvacuation>(command)) {
-        proposeThroughPeers(bytes, std::move(done));
-        return;
-    }
     if (!isRunning() || m_replica->core()->role() == QuorumRole::Leader) {
         proposeLocally(
             std::move(bytes), [done = std::move(done)](ProposeStatus status, std::uint64_t) { done(status); });
@@ -212,48 +231,10 @@
     done(ProposeStatus::NotLeader);
 }
 
-// An instance without a disk knows no leader. Only the leader takes the command, so all peers get it. `done` is called
-// once it is committed or the last peer has replied.
-void QuorumLog::proposeThroughPeers(const std::string& command, Done done)
-{
-    struct Attempt {
-        Done done;
-        std::size_t pending = 0;
-    };
-    auto attempt = std::make_shared<Attempt>(Attempt { std::move(done) });
-    const auto handleReply = [attempt](ProposeStatus status) {
-        const bool isLast = --attempt->pending == 0;
-        if (attempt->done && (status == ProposeStatus::Committed || isLast))
-            std::exchange(attempt->done, nullptr)(
-                status == ProposeStatus::Committed ? status : ProposeStatus::NotLeader);
-    };
-    for (auto& [id, known] : m_peers) {
-        Peer& peer = *known;
-        if (peer.connection.get() == nullptr) {
-            connect(peer);
-            continue;
-        }
-        ++attempt->pending;
-        auto request = peer.connection->control.proposeRequest();
-        request.setCommand(dataOf(command));
-        m_tasks.add(
-            m_loop.timer()
-                .timeoutAfter(messageTimeout, request.send())
-                .then([handleReply](auto response) { handleReply(static_cast<ProposeStatus>(response.getStatus())); },
-                    [handleReply, &peer, connection = peer.connectionNumber](kj::Exception&&) {
-                        if (peer.connectionNumber == connection)
-                            peer.connection = nullptr;
-                        handleReply(ProposeStatus::NoQuorum);
-                    }));
-    }
-    if (attempt->pending == 0)
-        attempt->done(ProposeStatus::NotLeader);
-}
-
 void QuorumLog::proposeLocally(std::string command, ProposalCallback callback)
 {
     if (!isRunning()) {
-        callback(ProposeStatus::StorageFailed, 0);
+        callback(m_relay ? ProposeStatus::NotLeader : ProposeStatus::StorageFailed, 0);
         return;
     }
     const bool isLeader = m_replica->core()->role() == QuorumRole::Leader;
@@ -298,28 +279,39 @@
     logFault();
 }
 
-void QuorumLog::expireProposals()
+void QuorumLog::failProposals(ProposeStatus status, const std::function<bool(const PendingProposal&)>& fails)
 {
-    const auto now = m_loop.timer().now();
+    std::vector<ProposalCallback> failed;
     for (auto* list : { &m_pendingProposals, &m_pendingForwards }) {
-        std::vector<ProposalCallback> expired;
         for (auto pending = list->begin(); pending != list->end();) {
-            const bool isExpired = pending->second.deadline <= now || !isRunning();
-            if (isExpired)
-                expired.push_back(std::move(pending->second.callback));
-            pending = isExpired ? list->erase(pending) : std::next(pending);
+            const bool isFailed = fails(pending->second);
+            if (isFailed)
+                failed.push_back(std::move(pending->second.callback));
+            pending = isFailed ? list->erase(pending) : std::next(pending);
         }
-        const auto status = isRunning() ? ProposeStatus::NoQuorum : ProposeStatus::StorageFailed;
-        for (const auto& callback : expired)
-            callback(status, 0);
     }
+    for (const auto& callback : failed)
+        callback(status, 0);
+}
+
+void QuorumLog::expireProposals()
+{
+    if (!isRunning()) {
+        failProposals(ProposeStatus::StorageFailed, [](const PendingProposal&) { return true; });
+        return;
+    }
+    failProposals(ProposeStatus::NoQuorum,
+        [now = m_loop.timer().now()](const PendingProposal& pending) { return pending.deadline <= now; });
 }
 
 void QuorumLog::logFault()
 {
+    if (isRunning() && std::exchange(m_faultLogged, false)) {
+        m_counters.counter("quorum_failed") = 0;
+        observe::log(observe::Level::Info, "quorum-reopened", { { "index", m_replica->core()->lastIndex() } });
+    }
     if (isRunning() || !m_replica.get() || std::exchange(m_faultLogged, true))
         return;
-    m_reopenTime = m_loop.timer().now() + reopenDelay;
     m_counters.counter("quorum_failed") = 1;
     nlohmann::json fields { { "error", "contradicts-leader" } };
     if (fault())
@@ -381,25 +373,40 @@
         m_counters.counter("quorum_messages_refused_total", "reason", "malformed") += 1;
         return;
     }
-    if (!m_replica.get()) {
-        replyWithoutDisk(*message);
+    if (message->rpcAddress.isSet())
+        addPeer(message->from, message->rpcAddress);
+    if (m_relay) {
+        m_relay->receive(*message, nowMillis());
+        sendRelayMessages();
         return;
     }
+    if (!m_replica.get())
+        return;
     m_replica->receive(*message, nowMillis());
     notifyApplied();
 }
 
-// Replies with disk 0, so that instances that bootstrap a cluster know that this one has no disk.
-void QuorumLog::replyWithoutDisk(const QuorumMessage& message)
+void QuorumLog::sendRelayMessages()
 {
-    if (message.kind != MessageKind::Hello)
-        return;
-    QuorumMessage reply;
-    reply.kind = MessageKind::HelloReply;
-    reply.from = m_settings.id;
-    reply.to = message.from;
-    reply.echo = message.echo;
-    send(reply);
+    for (const auto& message : m_relay->takeMessages())
+        send(message);
+}
+
+kj::Promise<void> QuorumLog::tickRelayPeriodically()
+{
+    m_relay->tick(nowMillis());
+    sendRelayMessages();
+    return m_loop.timer().afterDelay(relayTickInterval).then([this] { return tickRelayPeriodically(); });
+}
+
+// Adds the addresses of this instance, which only hellos and their replies have.
+QuorumMessage QuorumLog::withAddresses(QuorumMessage message) const
+{
+    if (message.kind == MessageKind::Hello && !isUnspecified(m_settings.listen))
+        message.rpcAddress = m_settings.listen;
+    if (message.kind == MessageKind::HelloReply && message.disk != 0)
+        message.operatorAddress = operatorAddress();
+    return message;
 }
 
 void QuorumLog::send(const QuorumMessage& message)
@@ -415,7 +422,9 @@
         return;
     }
     auto request = peer.connection->control.deliverRequest();
-    request.setMessage(dataOf(encodeMessage(message)));
+    const bool hasAddresses = message.kind == MessageKind::Hello || message.kind == MessageKind::HelloReply;
+    const std::string bytes = hasAddresses ? encodeMessage(withAddresses(message)) : encodeMessage(message);
+    request.setMessage(dataOf(bytes));
     ++peer.inFlight;
     auto sent = m_loop.timer().timeoutAfter(messageTimeout, request.send().ignoreResult());
     m_tasks.add(sent.then([&peer] { --peer.inFlight; },
@@ -466,22 +475,31 @@
     observe::log(observe::Level::Warn, "quorum-task-failed", { { "reason", exception.getDescription().cStr() } });
 }
 
+// An exception must not end the ticks, without which this instance would take no part until its process restarts.
 kj::Promise<void> QuorumLog::tickPeriodically()
 {
+    KJ_IF_MAYBE (exception, kj::runCatchingExceptions([this] { tick(); }))
+        taskFailed(kj::mv(*exception));
+    return m_loop.timer().afterDelay(tickInterval).then([this] { return tickPeriodically(); });
+}
+
+void QuorumLog::tick()
+{
+    if (!m_replica.get())
+        openReplica();
+    if (!m_replica.get())
+        return;
     m_replica->tick(nowMillis());
     notifyApplied();
     expireProposals();
-    if (!isRunning()) {
-        reopenAfterFault();
-        return m_loop.timer().afterDelay(tickInterval).then([this] { return tickPeriodically(); });
-    }
+    if (!isRunning())
+        return;
     logLeaderChange();
     m_counters.counter("quorum_term") = m_replica->core()->term();
     m_counters.counter("quorum_commit_index") = m_replica->core()->commitIndex();
     m_counters.counter("quorum_leads") = isActiveLeader() ? 1 : 0;
     m_counters.counter("quorum_current") = isCurrent() ? 1 : 0;
     m_counters.counter("quorum_votes") = m_replica->core()->isVoter() ? 1 : 0;
-    return m_loop.timer().afterDelay(tickInterval).then([this] { return tickPeriodically(); });
 }
 
 void QuorumLog::transferLeadership(std::function<void()> done)
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -3,6 +3,7 @@
 #include "control.capnp.h"
 #include "control/ClusterState.h"
 #include "control/CommandLog.h"
+#include "control/QuorumRelay.h"
 #include "control/QuorumReplica.h"
 #include "net/EventLoopThread.h"
 #include "observe/Counters.h"
@@ -25,13 +26,14 @@
     using ProposalCallback = std::function<void(ProposeStatus, std::uint64_t index)>;
 
     /// `applied` is called after entries were applied to `state`. With an empty `settings.data` this instance stores
-    /// nothing and does not vote. Throws when the data folder can't be locked or its journal is damaged or not one of
-    /// this release; a failed file operation is retried instead.
+    /// nothing and does not vote. Throws when another process uses the data folder or its journal is damaged or not one
+    /// of this release; a failed file operation is retried instead.
     QuorumLog(const settings::ControlSettings& settings, net::EventLoop& loop, ClusterState& state,
         observe::Counters& counters, std::function<void()> applied);
     ~QuorumLog() noexcept override;
 
-    /// Proposes a command; a follower forwards it to the leader. An instance without a disk forwards evacuations only.
+    /// Proposes a command; a follower forwards it to the leader. Fails with `NotLeader` on an instance without a disk,
+    /// which directs operators to `operatorTarget`.
     void propose(const Command& command, Done done) override;
     bool isActiveLeader() const override;
     bool isCurrent() const override;
@@ -49,7 +51,11 @@
     /// The leader's RPC interface. Null when this instance is the leader, knows none or is not connected to it.
     kj::Maybe<schema::Control::Client> leaderClient();
 
-    /// RPC addresses of the voters; empty while this instance does not take part.
+    /// The operator address of the instance that takes requests in place of this one. Nothing when none is known, and
+    /// always on an instance with a disk.
+    std::optional<net::Address> operatorTarget() const;
+
+    /// RPC addresses of the voters; empty while this instance has a disk and does not take part.
     std::vector<net::Address> voters() const;
 
     /// Adds instances to contact in search of the quorum, by RPC address.
@@ -69,30 +75,35 @@
     void send(const QuorumMessage& message) override;
     void apply(std::uint64_t index, const QuorumEntry& entry) override;
     void restore(const QuorumSnapshot& snapshot) override;
+    void reset() override;
     std::string saveState() override;
     void taskFailed(kj::Exception&& exception) override;
 
     std::uint64_t nowMillis() const;
+    void openReplica();
     kj::Promise<void> tickPeriodically();
+    void tick();
+    kj::Promise<void> tickRelayPeriodically();
+    void sendRelayMessages();
     std::optional<JournalFault> fault() const
     {
         return m_replica.get() ? m_replica->fault() : std::optional<JournalFault> {};
     }
-    void openReplica();
-    void replyWithoutDisk(const QuorumMessage& message);
-    void reopenAfterFault();
     Peer& peer(std::uint32_t id);
     std::string peerName(std::uint32_t id) const { return addressOf(id).text(); }
     net::Address addressOf(std::uint32_t id) const;
+    void addPeer(std::uint32_t id, const net::Address& address);
+    net::Address operatorAddress() const;
+    QuorumMessage withAddresses(QuorumMessage message) const;
     void connect(Peer& peer);
     kj::Promise<void> waitForOtherLeader(std::function<void()> done, kj::TimePoint deadline);
     void scheduleFlush();
     void notifyApplied();
     void expireProposals();
+    void failProposals(ProposeStatus status, const std::function<bool(const PendingProposal&)>& fails);
     void logFault();
     void logLeaderChange();
     void waitForApplied(std::uint64_t index, Done done);
-    void proposeThroughPeers(const std::string& command, Done done);
 
     net::EventLoop& m_loop;
     ClusterState& m_state;
@@ -109,8 +120,8 @@
     bool m_faultLogged = false;
     std::uint32_t m_loggedLeader = 0;
     std::uint64_t m_loggedTerm = 0;
-    kj::TimePoint m_reopenTime = kj::origin<kj::TimePoint>();
-    kj::Own<QuorumReplica> m_replica;
+    kj::Own<QuorumReplica> m_replica; // null without a disk and until the data folder is locked
+    std::optional<QuorumRelay> m_relay; // without a disk only
     kj::TaskSet m_tasks; // last member, so that it is destroyed first
 };
 
--- a/tests/control/QuorumSimulation.cpp
+++ b/tests/control/QuorumSimulation.cpp
@@ -48,9 +48,7 @@
     {
         QuorumReplica::Options options { m_id, std::move(discoveryPeers), mayBootstrap, {}, compactAfterEntries };
         options.timings.preVote = m_simulation.m_mutation != Mutation::NoPreVote;
-        state = ClusterState(0);
-        pendingProposals.clear();
-        pendingOrders.clear();
+        reset();
         replica.reset();
         // With this mutation every disk of an instance has the same identity, so an empty one counts as a voter.
         const bool sameDisk = m_simulation.m_mutation == Mutation::EmptyDiskVotes;
@@ -71,6 +69,9 @@
         m_simulation.checkApplied(m_id, index, entry, state);
         if (const auto order = pendingOrders.extract(index); !order.empty() && order.mapped().first == entry.term)
             m_simulation.m_acknowledgedOrders.insert(order.mapped().second);
+        if (const auto read = pendingBarriers.extract(index); !read.empty() && read.mapped().term == entry.term)
+            m_simulation.finishBarrier(read.mapped(), index);
+        m_simulation.checkReads(m_id, index, state);
         const auto pending = pendingProposals.find(index);
         if (pending == pendingProposals.end())
             return;
@@ -87,6 +88,17 @@
         state = ClusterState(*image);
         const auto& services = m_simulation.m_servicesAtRevision[state.membership().revision];
         m_simulation.check(services.empty() || services == describe(state.membership()), "a snapshot differs");
+        m_simulation.checkReads(m_id, snapshot.index, state);
+    }
+
+    void reset() override
+    {
+        state = ClusterState(0);
+        pendingProposals.clear();
+        pendingOrders.clear();
+        pendingBarriers.clear();
+        reads.clear();
+        appliedIndex = 0;
     }
 
     std::string saveState() override { return encodeImage(state.image()); }
@@ -99,6 +111,9 @@
     std::map<std::uint64_t, std::pair<std::uint64_t, std::string>> pendingProposals; // term and note by index
     std::map<std::string, std::uint64_t> submittedNumbers; // number by note
     std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> pendingOrders; // term and number by index
+    std::map<std::uint64_t, Barrier> pendingBarriers; // of reads here or at instances that forwarded them, by index
+    std::uint64_t appliedIndex = 0;
+    std::multimap<std::uint64_t, std::uint64_t> reads; // expected revision by the index that must be applied first
 
 private:
     QuorumSimulation& m_simulation;
@@ -109,20 +124,28 @@
     std::uint64_t seed, std::size_t instances, Mutation mutation, std::set<std::uint32_t> diskless)
     : m_random(seed)
     , m_mutation(mutation)
-    , m_disklessIds(std::move(diskless))
     , m_bootstrapCount(static_cast<std::uint32_t>(instances))
     , m_nextId(static_cast<std::uint32_t>(instances) + 1)
 {
+    std::vector<std::uint32_t> all;
     for (std::uint32_t id = 1; id <= instances; ++id) {
-        if (!m_disklessIds.contains(id))
+        all.push_back(id);
+        if (!diskless.contains(id))
             m_instances.emplace(id, std::make_unique<Instance>(*this, id));
     }
-    for (std::uint32_t id = 1; id <= instances; ++id) {
-        if (!m_disklessIds.contains(id))
+    for (const std::uint32_t id : all) {
+        if (diskless.contains(id))
+            startRelay(id, all);
+        else
             start(id);
     }
 }
 
+void QuorumSimulation::startRelay(std::uint32_t id, const std::vector<std::uint32_t>& discoveryPeers)
+{
+    m_relays.insert_or_assign(id, QuorumRelay(id, discoveryPeers));
+}
+
 std::uint32_t QuorumSimulation::anyInstance()
 {
     return std::next(m_instances.begin(), static_cast<std::ptrdiff_t>(below(m_instances.size())))->first;
@@ -135,16 +158,21 @@
     start(id);
 }
 
+std::uint32_t QuorumSimulation::joinKnowing(const std::vector<std::uint32_t>& discoveryPeers)
+{
+    const std::uint32_t id = m_nextId++;
+    m_instances.emplace(id, std::make_unique<Instance>(*this, id));
+    runCatchingCrash(id, [&](Instance& instance) { instance.start(discoveryPeers, false); });
+    return id;
+}
+
 void QuorumSimulation::leave(std::uint32_t id)
 {
     crash(id);
     m_instances.erase(id);
 }
 
-void QuorumSimulation::fillDisk(std::uint32_t id, bool full)
-{
-    m_instances.at(id)->files.limitBytes(full ? 0 : UINT64_MAX);
-}
+void QuorumSimulation::fillDisk(std::uint32_t id, bool full) { m_instances.at(id)->files.fill(full); }
 
 QuorumSimulation::~QuorumSimulation() = default;
 
@@ -253,13 +281,66 @@
     return accepted;
 }
 
+// The running instance that an instance takes for the leader; 0 when there is none or the link to it is cut.
+std::uint32_t QuorumSimulation::reachableLeader(std::uint32_t id) const
+{
+    const std::uint32_t leaderId = m_instances.at(id)->isRunning() ? core(id).leader() : 0;
+    const bool isReachable = leaderId != 0 && m_instances.contains(leaderId) && m_instances.at(leaderId)->isRunning()
+        && !m_droppedLinks.contains({ id, leaderId });
+    return isReachable ? leaderId : 0;
+}
+
+void QuorumSimulation::read(std::uint32_t id)
+{
+    const std::uint32_t leaderId = reachableLeader(id);
+    if (leaderId == 0)
+        return;
+    if (m_mutation == Mutation::ReadWithoutBarrier) {
+        const auto& state = m_instances.at(id)->state;
+        check(state.membership().revision >= m_acceptedRevision, "a read is older than an acknowledgement");
+        return;
+    }
+    runCatchingCrash(leaderId, [&](Instance& instance) {
+        const auto proposed = instance.replica->propose(encodeCommand(yuccahook::control::Barrier {}));
+        if (!proposed)
+            return;
+        instance.pendingBarriers[proposed->first] = { proposed->second, id, m_acceptedRevision };
+        instance.replica->flush();
+    });
+}
+
+// The instance that was read replies once it has applied the entry itself.
+void QuorumSimulation::finishBarrier(const Barrier& barrier, std::uint64_t index)
+{
+    const auto reader = m_instances.find(barrier.reader);
+    if (reader == m_instances.end() || !reader->second->isRunning())
+        return;
+    reader->second->reads.emplace(index, barrier.acceptedRevision);
+    checkReads(barrier.reader, reader->second->appliedIndex, reader->second->state);
+}
+
+void QuorumSimulation::checkReads(std::uint32_t id, std::uint64_t appliedIndex, const ClusterState& state)
+{
+    auto& instance = *m_instances.at(id);
+    instance.appliedIndex = appliedIndex;
+    while (!instance.reads.empty() && instance.reads.begin()->first <= appliedIndex) {
+        const std::uint64_t expectedRevision = instance.reads.begin()->second;
+        instance.reads.erase(instance.reads.begin());
+        check(state.membership().revision >= expectedRevision, "a read is older than an acknowledgement");
+        ++m_reads;
+    }
+}
+
 std::uint64_t QuorumSimulation::evacuate(std::uint32_t id, const std::string& domain, bool active)
 {
+    if (const auto relay = m_relays.find(id); relay != m_relays.end()) {
+        const auto target = relay->second.requestTarget(m_now);
+        return target ? evacuate(target->id, domain, active) : 0;
+    }
     if (!m_instances.at(id)->isRunning())
         return 0;
-    const std::uint32_t leaderId = core(id).leader();
-    if (leaderId == 0 || !m_instances.contains(leaderId) || !m_instances.at(leaderId)->isRunning()
-        || m_droppedLinks.contains({ id, leaderId }))
+    const std::uint32_t leaderId = reachableLeader(id);
+    if (leaderId == 0)
         return 0;
     std::uint64_t number = 0;
     runCatchingCrash(leaderId, [&](Instance& instance) {
@@ -300,6 +381,7 @@
         accepted->second.firstAnsweredMillis = m_now;
         accepted->second.revision = outcome.revision;
         accepted->second.content = outcome.acceptedAuthor;
+        m_acceptedRevision = std::max(m_acceptedRevision, outcome.revision);
     }
     check(accepted->second.revision == outcome.revision, "two answers to one note differ");
     check(accepted->second.content == outcome.acceptedAuthor, "two notes of one number were accepted");
@@ -360,14 +442,8 @@
     while (!m_network.empty() && m_network.top().atMillis <= m_now) {
         const QuorumMessage message = m_network.top().message;
         m_network.pop();
-        if (m_disklessIds.contains(message.to) && message.kind == MessageKind::Hello) {
-            QuorumMessage reply;
-            reply.kind = MessageKind::HelloReply;
-            reply.from = message.to;
-            reply.to = message.from;
-            reply.echo = message.echo;
-            enqueue(reply);
-        }
+        if (const auto relay = m_relays.find(message.to); relay != m_relays.end())
+            relay->second.receive(message, m_now);
         if (!m_instances.contains(message.to) || m_now < m_frozenUntil[message.to])
             continue;
         runCatchingCrash(message.to, [&](Instance& instance) {
@@ -381,7 +457,7 @@
             continue;
         }
         runCatchingCrash(id, [this, id = id](Instance& running) {
-            if (running.isRunning())
+            if (running.replica)
                 running.replica->tick(m_now - m_clockLagMillis[id]);
         });
         const bool opened = instance->replica && instance->replica->core();
@@ -391,6 +467,11 @@
         const auto [term, isNew] = m_leaderOfTerm.try_emplace(instance->replica->core()->term(), id);
         check(isNew || term->second == id, "two leaders in one term");
     }
+    for (auto& [id, relay] : m_relays) {
+        relay.tick(m_now);
+        for (const auto& message : relay.takeMessages())
+            enqueue(message);
+    }
     subscribe();
 }
 
@@ -423,7 +504,7 @@
         break;
     case 13:
         for (const auto& [any, each] : m_instances)
-            each->files.limitBytes(UINT64_MAX);
+            each->files.fill(false);
         break;
     case 0:
         crash(id);
@@ -460,6 +541,8 @@
             causeFault();
         if (below(10) == 0)
             submit(1 + below(40), below(3));
+        if (below(10) == 0)
+            read(anyInstance());
         std::vector<std::uint32_t> stopped;
         for (const auto& [id, instance] : m_instances) {
             if (!instance->isRunning())
@@ -479,7 +562,7 @@
     m_frozenUntil.clear();
     for (const auto& [id, instance] : m_instances) {
         instance->files.crashAfter(0);
-        instance->files.limitBytes(UINT64_MAX);
+        instance->files.fill(false);
         if (!instance->isRunning())
             start(id);
     }
@@ -488,6 +571,12 @@
     check(submit(finalNoteNumber, 0), "no leader accepts proposals once faults have ended");
     run(1000);
     check(m_accepted.contains(finalNoteNumber), "a note is not accepted once faults have ended");
+    const std::uint64_t readsBefore = m_reads;
+    for (const auto& [id, instance] : m_instances)
+        read(id);
+    run(1000);
+    const bool allRead = m_reads == readsBefore + m_instances.size() || m_mutation == Mutation::ReadWithoutBarrier;
+    check(allRead, "an instance does not answer a read once faults have ended");
     checkOrder();
 }
 
--- a/tests/control/QuorumSimulation.h
+++ b/tests/control/QuorumSimulation.h
@@ -2,6 +2,7 @@
 
 #include "control/ClusterState.h"
 #include "control/FaultyFiles.h"
+#include "control/QuorumRelay.h"
 #include "control/QuorumReplica.h"
 
 #include <map>
@@ -16,7 +17,7 @@
 namespace yuccahook::control::testing {
 
 /// Deliberate defects that the simulation's checks must detect.
-enum class Mutation { None, AckBeforeSync, EmptyDiskVotes, NoPreVote, LowerRevisionApplied };
+enum class Mutation { None, AckBeforeSync, EmptyDiskVotes, NoPreVote, LowerRevisionApplied, ReadWithoutBarrier };
 
 /// Runs real replicas over a faulty network and faulty disks in virtual time, with operators that submit notes and a
 /// subscriber that follows revisions, and collects the violations of what must always hold.
@@ -38,13 +39,16 @@
     /// Adds an instance with an empty disk that knows some of the others.
     void join();
 
+    /// Adds an instance with an empty disk that knows only the given others, and returns its id.
+    std::uint32_t joinKnowing(const std::vector<std::uint32_t>& discoveryPeers);
+
     /// Removes an instance permanently.
     void leave(std::uint32_t id);
 
     /// Suspends an instance together with its clock; it loses nothing.
     void freeze(std::uint32_t id, std::uint64_t millis) { m_frozenUntil[id] = m_now + millis; }
 
-    /// Makes an instance's writes fail, or succeed again.
+    /// Makes an instance's writes fail, or succeed again. A replica that failed opens its journal anew.
     void fillDisk(std::uint32_t id, bool full);
 
     /// Ends all faults, then checks that notes are accepted again and that all instances agree.
@@ -65,11 +69,22 @@
     /// Submits a note to the leader; false when there is none or it refuses the proposal.
     bool submit(std::uint64_t number, std::uint64_t content);
 
-    /// Gives an order to an instance, which proposes it or forwards it to the leader that it knows. Returns a number
-    /// that is added to `acknowledgedOrders` with its acknowledgement; 0 when it can't be proposed.
+    /// Gives an order to an instance, which proposes it, forwards it to the leader that it knows or, without a disk,
+    /// redirects it. Returns a number that is added to `acknowledgedOrders` with its acknowledgement; 0 when it can't
+    /// be proposed.
     std::uint64_t evacuate(std::uint32_t id, const std::string& domain, bool active);
     const std::set<std::uint64_t>& acknowledgedOrders() const { return m_acknowledgedOrders; }
 
+    /// Reads the state at an instance, as operators do: an entry of the log orders the read after all acknowledgements
+    /// so far. Checks that the state read has all notes that were accepted before.
+    void read(std::uint32_t id);
+
+    /// An instance without a disk.
+    const QuorumRelay& relay(std::uint32_t id) const { return m_relays.at(id); }
+
+    /// Starts an instance without a disk anew; it knows only the given others.
+    void startRelay(std::uint32_t id, const std::vector<std::uint32_t>& discoveryPeers);
+
     /// The evacuated domains at an instance.
     const std::vector<std::string>& evacuated(std::uint32_t id) const;
 
@@ -87,6 +102,7 @@
 
     std::uint64_t accepted() const { return m_accepted.size(); }
     std::uint64_t commits() const { return m_committed.size(); }
+    std::uint64_t reads() const { return m_reads; }
     std::uint64_t disksLost() const { return m_disksLost; }
     std::uint64_t termsStarted() const { return m_leaderOfTerm.size(); }
     const std::set<std::string>& violations() const { return m_violations; }
@@ -116,6 +132,16 @@
     void causeFault();
     void subscribe();
     void checkApplied(std::uint32_t id, std::uint64_t index, const QuorumEntry& entry, ClusterState& state);
+    /// An entry that orders a read.
+    struct Barrier {
+        std::uint64_t term = 0;
+        std::uint32_t reader = 0;
+        std::uint64_t acceptedRevision = 0; // when the read began
+    };
+
+    void finishBarrier(const Barrier& barrier, std::uint64_t index);
+    std::uint32_t reachableLeader(std::uint32_t id) const;
+    void checkReads(std::uint32_t id, std::uint64_t appliedIndex, const ClusterState& state);
     void recordOutcome(std::uint64_t number, const NoteOutcome& outcome);
     void checkOrder();
     void check(bool condition, const char* violation);
@@ -123,7 +149,7 @@
 
     std::mt19937_64 m_random;
     const Mutation m_mutation;
-    const std::set<std::uint32_t> m_disklessIds; // instances without a disk
+    std::map<std::uint32_t, QuorumRelay> m_relays; // instances without a disk
     const std::uint32_t m_bootstrapCount;
     std::uint32_t m_nextId = 0;
     bool m_memberChanges = false;
@@ -142,6 +168,8 @@
     std::map<std::uint64_t, std::string> m_servicesAtRevision;
     std::map<std::uint64_t, NoteHistory> m_submitted; // by number
     std::map<std::uint64_t, NoteHistory> m_accepted;
+    std::uint64_t m_acceptedRevision = 0; // highest revision of an accepted note
+    std::uint64_t m_reads = 0;
     std::uint64_t m_subscribedRevision = 0;
     std::uint64_t m_disksLost = 0;
     std::map<std::uint32_t, std::size_t> m_sentBytes; // by receiver
--- a/tests/control/QuorumTest.cpp
+++ b/tests/control/QuorumTest.cpp
@@ -1,7 +1,12 @@
 #include "control/QuorumSimulation.h"
 
+#include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <doctest/doctest.h>
+#include <map>
+#include <random>
+#include <string>
 
 using namespace yuccahook::control;
 using namespace yuccahook::control::testing;
@@ -214,6 +219,101 @@
     }
 }
 
+// Guards against instances that stay outside the quorum after their disk was full, until no majority is left.
+TEST_CASE("Disks that are full one after another leave every instance in the quorum")
+{
+    constexpr std::uint64_t seeds = 40;
+    constexpr std::uint64_t acknowledgementMillis = 1000; // the bound in steady state
+    constexpr std::uint64_t longestAcknowledgementMillis = 5000; // the bound while one disk is lost
+    constexpr std::uint64_t attemptMillis = 100;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const std::uint32_t instances = std::array { 3, 5, 7 }[seed % 3];
+        QuorumSimulation simulation(seed, instances);
+        simulation.run(2000);
+        std::mt19937_64 random(seed);
+        for (std::uint32_t round = 0; round < 3 * instances; ++round) {
+            const std::uint32_t leader = simulation.leader();
+            const std::uint32_t full = random() % 2 == 0 && leader != 0 ? leader : round % instances + 1;
+            simulation.fillDisk(full, true);
+            if (random() % 4 == 0) {
+                simulation.crash(full);
+                simulation.start(full);
+            } else if (random() % 4 == 0) {
+                simulation.transferLeadership(full % instances + 1);
+            }
+            const std::uint64_t fullMillis = 1000 + random() % 4000;
+            std::uint64_t unacknowledgedMillis = 0;
+            for (std::uint64_t passed = 0; passed < fullMillis; passed += attemptMillis) {
+                const std::string domain = "domain-" + std::to_string(round);
+                const auto order = simulation.evacuate(random() % instances + 1, domain, passed % 200 == 0);
+                simulation.run(attemptMillis);
+                const bool acknowledged = simulation.acknowledgedOrders().contains(order);
+                unacknowledgedMillis = acknowledged ? 0 : unacknowledgedMillis + attemptMillis;
+                CHECK(unacknowledgedMillis < longestAcknowledgementMillis);
+            }
+            simulation.fillDisk(full, false);
+            simulation.run(random() % 1500);
+        }
+        simulation.run(longestAcknowledgementMillis);
+        INFO("seed ", seed);
+        CHECK(simulation.isFullyReplicated());
+        for (std::uint32_t id = 1; id <= instances; ++id) {
+            const auto order = simulation.evacuate(id, "after", id % 2 == 1);
+            simulation.run(acknowledgementMillis);
+            CHECK(simulation.acknowledgedOrders().contains(order));
+        }
+        CHECK(simulation.violations().empty());
+    }
+}
+
+// Guards against an acknowledgement that only the lost disks and memory remember.
+TEST_CASE("An acknowledged order survives the loss of two of five disks while all other instances lose power")
+{
+    constexpr std::uint64_t seeds = 60;
+    constexpr std::uint32_t disks = 5;
+    constexpr std::uint32_t instances = 8; // three without a disk
+    constexpr std::uint64_t catchUpMillis = 6000;
+    constexpr std::uint64_t recoveryMillis = 15'000;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        QuorumSimulation simulation(seed, instances, Mutation::None, { 6, 7, 8 });
+        std::mt19937_64 random(seed);
+        simulation.run(2000);
+        std::map<std::string, std::uint64_t> orders;
+        for (const char* round : { "first", "second", "third" }) {
+            // Two disks are lost, not the same ones each time, some milliseconds after an order was sent.
+            const std::uint32_t one = random() % disks;
+            const std::uint32_t other = (one + 1 + random() % (disks - 1)) % disks;
+            orders[round] = simulation.evacuate(random() % instances + 1, round, true);
+            simulation.run(5 + random() % 396);
+            for (std::uint32_t id = 1; id <= disks; ++id) {
+                if (id == one + 1 || id == other + 1)
+                    simulation.loseDisk(id);
+                else
+                    simulation.crash(id);
+            }
+            const auto acknowledged = simulation.acknowledgedOrders();
+            for (std::uint32_t id = 1; id <= instances; ++id) {
+                simulation.run(random() % 300);
+                if (id <= disks)
+                    simulation.start(id);
+                else
+                    simulation.startRelay(id, { 1, 2, 3 });
+            }
+            simulation.run(recoveryMillis);
+            INFO("seed ", seed, ", ", round);
+            CHECK(simulation.isFullyReplicated());
+            for (const auto& [domain, order] : orders) {
+                const auto& evacuated = simulation.evacuated(random() % disks + 1);
+                const bool isInForce = std::find(evacuated.begin(), evacuated.end(), domain) != evacuated.end();
+                CHECK((isInForce || !acknowledged.contains(order)));
+            }
+            simulation.run(catchUpMillis);
+        }
+        CHECK(simulation.violations().empty());
+        CHECK_FALSE(simulation.acknowledgedOrders().empty());
+    }
+}
+
 TEST_CASE("The voters of a quorum change with its instances")
 {
     QuorumSimulation simulation(11, 3);
@@ -327,6 +427,11 @@
         CHECK(seedThatDetects(Mutation::LowerRevisionApplied, "subscriber's revision decreased") > 0);
     }
 
+    SUBCASE("a read that does not wait for an entry of its own is detected")
+    {
+        CHECK(seedThatDetects(Mutation::ReadWithoutBarrier, "a read is older than an acknowledgement") != 0);
+    }
+
     SUBCASE("without pre-votes a partly cut off follower raises the term")
     {
         QuorumSimulation simulation(7, 3, Mutation::NoPreVote);
