Settings: the operator address is the last member of a control instance's settings

Measured: all targets of the release build compile; the cases of control, net, settings, roles and platform pass.

--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -70,11 +70,11 @@
 struct ControlSettings {
     std::uint32_t id = 1; ///< Unique among the control instances.
     net::Address listen; ///< RPC, for every other process.
-    net::Address operatorAddress; ///< The process's `operator`.
     std::string data; ///< The data folder; empty for a diskless instance.
     std::vector<QuorumPeerSettings> peers; ///< The other control instances.
     bool usesAddressAsId = false; ///< Set when `id` is absent; empty `peers` are then filled from `control`.
     bool founds = true; ///< May bootstrap a cluster with `peers` when the journals of all are empty.
+    net::Address operatorAddress {}; ///< The process's `operator`.
 };
 
 /// The content of a settings file that has passed all checks.
