Redirections need an operator address

Cause: an instance of an earlier release replies without one, as during a rolling update, and the redirection would have named port 0. Change: such a target counts as unknown (503, and the caller goes on as before).

--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -139,7 +139,8 @@
 std::optional<net::Address> QuorumLog::operatorTarget() const
 {
     const auto target = m_relay ? m_relay->requestTarget(nowMillis()) : std::nullopt;
-    return target ? std::optional(target->operatorAddress) : std::nullopt;
+    const bool isKnown = target && target->operatorAddress.isSet(); // an earlier release does not tell it
+    return isKnown ? std::optional(target->operatorAddress) : std::nullopt;
 }
 
 net::Address QuorumLog::addressOf(std::uint32_t id) const
--- a/src/control/QuorumRelay.cpp
+++ b/src/control/QuorumRelay.cpp
@@ -1,7 +1,5 @@
 #include "control/QuorumRelay.h"
 
-#include <algorithm>
-
 namespace yuccahook::control {
 
 namespace {
--- a/src/control/QuorumRelay.h
+++ b/src/control/QuorumRelay.h
@@ -40,7 +40,7 @@
     /// The leader, or during an election a voter, which waits for its end. Nothing when none has replied recently.
     std::optional<RequestTarget> requestTarget(std::uint64_t nowMillis) const;
 
-    /// The voters that the furthest log names that this instance has heard of.
+    /// The voters by the furthest of the logs that this instance has heard of.
     const VoterMap& voters() const { return m_voters; }
 
 private:
@@ -64,7 +64,7 @@
     Contacts m_contacts; // by instance
     std::uint64_t m_cluster = 0;
     VoterMap m_voters;
-    std::pair<std::uint64_t, std::uint64_t> m_voterLog; // term and index of the last entry of the log that names them
+    std::pair<std::uint64_t, std::uint64_t> m_voterLog; // term and index of the last entry of that log
     std::uint64_t m_helloDueMillis = 0;
     std::vector<QuorumMessage> m_messages;
 };
