--- a/review/lab.py
+++ b/review/lab.py
@@ -184,12 +184,12 @@
     MAX_FLOW_S = 60
 
     def __init__(self, folder, prefix):
-        self.folder = tempfile.mkdtemp(prefix="yuccahook-review-")
         self.record = Record(folder)
         self.prefix = prefix  # of the machines' loopback addresses, as "127.61"
         self.random = random.Random(os.urandom(8))
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.deploy = tomllib.load(file)
+        self.folder = tempfile.mkdtemp(prefix="yuccahook-review-")
         names = ("packets", "outbound", "readiness", "control", "app", "internal", "trunk")
         self.ports = dict(zip(names, self.free_ports(len(names))))
         self.zones = []
@@ -519,8 +519,8 @@
 
 
 class SlowPath:
-    """The path of a server's calls to its agent. While it is held, bytes that were sent wait in it, as behind a partition; they
-    arrive when it is released, whether or not their sender still runs."""
+    """The path of a server's calls to its agent. While it is held, calls that were sent wait in it, as behind a partition.
+    They arrive when they are released, whether or not their sender still runs."""
 
     def __init__(self, site, machine):
         self.site, self.target, self.held, self.waiting = site, site.at(machine.ip, "control"), False, []
