Control instances log slow work, elections with their cause, large messages and tables without effect

The logs had leader changes, but not whether a missing heartbeat, a transfer or work on the control thread caused them.

Change: ControlWorkMeter counts the time of each kind of work on the control thread and logs what holds up heartbeats; QuorumCore keeps why it started an election; messages of 64 KiB and more that are slow, and those that close a connection, are logged with bytes and time; an applied table logs its version and whether it had an effect. No decision changes.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -199,6 +199,7 @@
 
     void writeReply(ChangesContext& context, std::uint64_t after)
     {
+        const ControlWorkMeter::Span span(m_node.m_workMeter, ControlWork::WriteView);
         auto results = context.getResults();
         auto status = ChangesStatus::Unchanged;
         if (!m_node.m_log->isCurrent()) {
@@ -223,6 +224,7 @@
     , m_counters(counters)
     , m_proposalMillis(counters, "proposal_millis")
     , m_evacuations(serviceName, counters)
+    , m_workMeter(counters)
     , m_thread("control", queueBound)
 {
     addOperatorRoute(operatorServer, "/notes", [this](const net::HttpRequest& request) {
@@ -268,7 +270,8 @@
 {
     m_loop = &loop;
     m_state = std::make_unique<ClusterState>(0); // the journal has the id of the cluster
-    m_log = std::make_unique<QuorumLog>(m_settings, loop, *m_state, m_counters, [this] { handleStateChange(); });
+    m_log = std::make_unique<QuorumLog>(
+        m_settings, loop, *m_state, m_counters, m_workMeter, [this] { handleStateChange(); });
     handleStateChange();
     m_server = kj::heap<capnp::TwoPartyServer>(kj::heap<RpcServer>(*this));
     sockaddr_storage socket {};
@@ -417,10 +420,14 @@
 
 ProposeStatus ControlNode::publishRouteTable(const flow::RouteTable& table)
 {
+    const auto began = std::chrono::steady_clock::now();
     const auto status = proposeAndWait(PublishRoutes { table }, [] {});
+    const auto elapsed = std::chrono::steady_clock::now() - began;
     m_counters.counter("route_tables_total", "status", kernel::nameOf(status)) += 1;
     observe::log(status == ProposeStatus::Committed ? observe::Level::Info : observe::Level::Warn, "route-table",
-        { { "version", table.version }, { "routes", table.routes.size() }, { "status", kernel::nameOf(status) } });
+        { { "version", table.version }, { "routes", table.routes.size() }, { "bytes", table.document.size() },
+            { "status", kernel::nameOf(status) },
+            { "millis", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count() } });
     return status;
 }
 
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -102,6 +102,7 @@
     observe::Counters& m_counters;
     observe::Histogram m_proposalMillis;
     EvacuationLog m_evacuations;
+    ControlWorkMeter m_workMeter; // written on the control thread
     net::EventLoopThread m_thread;
 
     // Control thread only.
--- a/src/control/QuorumCore.cpp
+++ b/src/control/QuorumCore.cpp
@@ -89,7 +89,7 @@
         bootstrapIfAllEmpty();
     }
     if (m_nowMillis >= m_electionDueMillis)
-        startElection();
+        startElection(ElectionCause::LeaderSilent);
 }
 
 std::optional<std::uint64_t> QuorumCore::propose(std::string command)
--- a/src/control/QuorumCore.h
+++ b/src/control/QuorumCore.h
@@ -37,6 +37,22 @@
 /// The role of a replica, as in Raft with pre-votes.
 enum class QuorumRole : std::uint8_t { Follower, PreCandidate, Candidate, Leader };
 
+/// Why a replica starts an election.
+enum class ElectionCause : std::uint8_t {
+    None,
+    LeaderSilent, ///< No message of a leader within the election timeout.
+    VotersPresent, ///< All voters are present after a start.
+    TakeOver ///< The leader transfers its leadership.
+};
+
+/// The last election that a replica started.
+struct ElectionStart {
+    std::uint64_t count = 0; ///< Number of elections that it has started so far.
+    ElectionCause cause = ElectionCause::None;
+    std::uint64_t term = 0; ///< Before the election.
+    std::uint64_t leaderSilentMillis = 0; ///< Since the last message of a leader; 0 when there was none.
+};
+
 /// The actions that a step requires of its caller, in this order: make the record durable, confirm that, send the
 /// messages, restore the snapshot and apply the committed entries.
 struct QuorumOutput {
@@ -98,6 +114,7 @@
     std::uint32_t leader() const { return m_leader; } ///< 0 when unknown.
     std::uint64_t lastIndex() const { return m_snapshot.index + m_log.size(); }
     std::uint64_t commitIndex() const { return m_commitIndex; }
+    const ElectionStart& lastElection() const { return m_lastElection; }
     const QuorumSnapshot& snapshot() const { return m_snapshot; }
     const QuorumConfiguration& configuration() const { return m_configurations.rbegin()->second; }
 
@@ -165,7 +182,8 @@
     void becomeFollower(std::uint64_t term, std::uint32_t leader);
     void recordVote(std::uint64_t term, std::uint64_t votedFor);
     void resetElectionTimer();
-    void startElection();
+    void startElection(ElectionCause cause);
+    void recordElection(ElectionCause cause);
     void startPreVote();
     void startCampaign();
     void becomeLeader();
@@ -209,6 +227,7 @@
     std::uint64_t m_leaderCommitIndex = 0;
     std::uint64_t m_leaderContactMillis = 0;
     std::uint64_t m_electionDueMillis = 0;
+    ElectionStart m_lastElection;
     std::uint64_t m_heartbeatDueMillis = 0;
     std::uint64_t m_leaderSinceMillis = 0;
     std::uint64_t m_termStartIndex = 0; // index of this leader's TermStart entry
@@ -227,6 +246,10 @@
 
 } // namespace yuccahook::control
 
+template <> struct yuccahook::kernel::EnumNames<yuccahook::control::ElectionCause> {
+    static constexpr std::array<std::string_view, 4> names { "none", "leader-silent", "voters-present", "take-over" };
+};
+
 template <> struct yuccahook::kernel::EnumNames<yuccahook::control::QuorumRole> {
     static constexpr std::array<std::string_view, 4> names { "follower", "pre-candidate", "candidate", "leader" };
 };
--- a/src/control/QuorumElection.cpp
+++ b/src/control/QuorumElection.cpp
@@ -55,14 +55,21 @@
         return voter.first == m_id || (found != m_startupVoters.end() && found->second == voter.second);
     });
     if (allVotersPresent)
-        startElection();
+        startElection(ElectionCause::VotersPresent);
 }
 
-void QuorumCore::startElection()
+void QuorumCore::recordElection(ElectionCause cause)
+{
+    const std::uint64_t silentMillis = m_leaderContactMillis == 0 ? 0 : m_nowMillis - m_leaderContactMillis;
+    m_lastElection = { m_lastElection.count + 1, cause, m_vote.term, silentMillis };
+}
+
+void QuorumCore::startElection(ElectionCause cause)
 {
     resetElectionTimer();
     if (!isVoter())
         return;
+    recordElection(cause);
     if (m_timings.preVote)
         startPreVote();
     else
@@ -159,8 +166,10 @@
 
 void QuorumCore::onTakeOver(const QuorumMessage& request)
 {
-    if (request.term == m_vote.term && isVoter())
+    if (request.term == m_vote.term && isVoter()) {
+        recordElection(ElectionCause::TakeOver);
         startCampaign();
+    }
 }
 
 } // namespace yuccahook::control
--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -18,6 +18,8 @@
 constexpr auto messageTimeout = 800 * kj::MILLISECONDS; // a connection without a reply for this long is replaced
 constexpr auto proposalTimeout = 5 * kj::SECONDS;
 constexpr auto leadershipTransferTimeout = 1 * kj::SECONDS;
+constexpr std::size_t largeMessageBytes = 64 << 10;
+constexpr auto slowReply = 200 * kj::MILLISECONDS; // two heartbeat intervals
 constexpr std::size_t maximumMessagesInFlight = 128;
 
 capnp::Data::Reader dataOf(const std::string& bytes)
@@ -73,10 +75,11 @@
 };
 
 QuorumLog::QuorumLog(const settings::ControlSettings& settings, net::EventLoop& loop, ClusterState& state,
-    observe::Counters& counters, std::function<void()> applied)
+    observe::Counters& counters, ControlWorkMeter& workMeter, std::function<void()> applied)
     : m_loop(loop)
     , m_state(state)
     , m_counters(counters)
+    , m_workMeter(workMeter)
     , m_applied(std::move(applied))
     , m_settings(settings)
     , m_files(settings.data)
@@ -207,7 +210,11 @@
 
 void QuorumLog::propose(const Command& command, Done done)
 {
-    std::string bytes = encodeCommand(command);
+    std::string bytes;
+    {
+        const ControlWorkMeter::Span span(m_workMeter, ControlWork::EncodeCommand);
+        bytes = encodeCommand(command);
+    }
     if (!isRunning() || m_replica->core()->role() == QuorumRole::Leader) {
         proposeLocally(
             std::move(bytes), [done = std::move(done)](ProposeStatus status, std::uint64_t) { done(status); });
@@ -257,7 +264,10 @@
         return;
     m_tasks.add(kj::evalLater([this] {
         m_flushScheduled = false;
-        m_replica->flush();
+        {
+            const ControlWorkMeter::Span span(m_workMeter, ControlWork::Replicate);
+            m_replica->flush();
+        }
         notifyApplied();
     }));
 }
@@ -333,13 +343,39 @@
             { "votes", core.isVoter() } });
 }
 
+// Tells an election for a missing heartbeat from one that a start or a planned stop has caused.
+void QuorumLog::logElection()
+{
+    const auto& election = m_replica->core()->lastElection();
+    if (std::exchange(m_loggedElections, election.count) == election.count)
+        return;
+    m_counters.counter("quorum_elections_total", "cause", kernel::nameOf(election.cause)) += 1;
+    observe::log(observe::Level::Info, "election-started",
+        { { "cause", kernel::nameOf(election.cause) }, { "term", election.term },
+            { "leaderSilentMillis", election.leaderSilentMillis } });
+}
+
+void QuorumLog::countRouteTable(const Command& command)
+{
+    const auto* publish = std::get_if<PublishRoutes>(&command);
+    if (!publish)
+        return;
+    const bool isNewer = publish->table.version > m_state.membership().routeVersion;
+    m_counters.counter("route_table_entries_total", "effect", isNewer ? "in-force" : "none") += 1;
+    observe::log(observe::Level::Info, "route-table-entry",
+        { { "version", publish->table.version }, { "inForce", isNewer }, { "index", m_appliedIndex + 1 } });
+}
+
 void QuorumLog::apply(std::uint64_t index, const QuorumEntry& entry)
 {
+    const ControlWorkMeter::Span span(m_workMeter, ControlWork::ApplyEntry);
     if (entry.kind == EntryKind::Bootstrap)
         m_state = ClusterState(entry.cluster);
     if (entry.kind == EntryKind::Command) {
-        if (const auto command = decode(entry.payload))
+        if (const auto command = decode(entry.payload)) {
+            countRouteTable(*command);
             m_state.apply(*command);
+        }
     }
     if (entry.kind == EntryKind::Settled || entry.kind == EntryKind::Bootstrap)
         observe::log(observe::Level::Info, "voters-changed", { { "index", index }, { "voters", entry.voters } });
@@ -365,11 +401,19 @@
     m_stateChanged = true;
 }
 
-std::string QuorumLog::saveState() { return encodeImage(m_state.image()); }
+std::string QuorumLog::saveState()
+{
+    const ControlWorkMeter::Span span(m_workMeter, ControlWork::SaveState);
+    return encodeImage(m_state.image());
+}
 
 void QuorumLog::receive(const std::string& bytes)
 {
-    const auto message = decodeMessage(bytes);
+    std::optional<QuorumMessage> message;
+    {
+        const ControlWorkMeter::Span span(m_workMeter, ControlWork::DecodeMessage);
+        message = decodeMessage(bytes);
+    }
     if (!message) {
         m_counters.counter("quorum_messages_refused_total", "reason", "malformed") += 1;
         return;
@@ -383,7 +427,10 @@
     }
     if (!m_replica.get())
         return;
-    m_replica->receive(*message, nowMillis());
+    {
+        const ControlWorkMeter::Span span(m_workMeter, ControlWork::Replicate);
+        m_replica->receive(*message, nowMillis());
+    }
     notifyApplied();
 }
 
@@ -424,18 +471,43 @@
     }
     auto request = peer.connection->control.deliverRequest();
     const bool hasAddresses = message.kind == MessageKind::Hello || message.kind == MessageKind::HelloReply;
-    const std::string bytes = hasAddresses ? encodeMessage(withAddresses(message)) : encodeMessage(message);
-    request.setMessage(dataOf(bytes));
+    std::string bytes;
+    {
+        const ControlWorkMeter::Span span(m_workMeter, ControlWork::EncodeMessage);
+        bytes = hasAddresses ? encodeMessage(withAddresses(message)) : encodeMessage(message);
+        request.setMessage(dataOf(bytes));
+    }
     ++peer.inFlight;
+    m_counters.counter("quorum_bytes_sent_total", "kind", kernel::nameOf(message.kind)) += bytes.size();
+    const auto logIfSlow
+        = [this, to = message.to, kind = message.kind, size = bytes.size(), began = m_loop.timer().now()](
+              bool answered) { logSlowMessage(to, kind, size, began, answered); };
     auto sent = m_loop.timer().timeoutAfter(messageTimeout, request.send().ignoreResult());
-    m_tasks.add(sent.then([&peer] { --peer.inFlight; },
-        [&peer, connection = peer.connectionNumber](kj::Exception&&) {
+    m_tasks.add(sent.then(
+        [&peer, logIfSlow] {
+            --peer.inFlight;
+            logIfSlow(true);
+        },
+        [&peer, logIfSlow, connection = peer.connectionNumber](kj::Exception&&) {
             --peer.inFlight;
-            if (peer.connectionNumber == connection)
-                peer.connection = nullptr;
+            if (peer.connectionNumber != connection || peer.connection.get() == nullptr)
+                return; // an earlier message has closed the connection
+            logIfSlow(false);
+            peer.connection = nullptr;
         }));
 }
 
+void QuorumLog::logSlowMessage(std::uint32_t to, MessageKind kind, std::size_t bytes, kj::TimePoint sent, bool answered)
+{
+    const auto elapsed = m_loop.timer().now() - sent;
+    if (answered && (elapsed < slowReply || bytes < largeMessageBytes))
+        return;
+    m_counters.counter("quorum_messages_slow_total", "outcome", answered ? "answered" : "given-up") += 1;
+    observe::log(observe::Level::Info, "quorum-message-slow",
+        { { "to", peerName(to) }, { "kind", kernel::nameOf(kind) }, { "bytes", bytes },
+            { "millis", elapsed / kj::MILLISECONDS }, { "answered", answered } });
+}
+
 // Until the connection is open only the newest message is kept and the others are lost. The protocol sends messages
 // again that are still needed.
 void QuorumLog::connect(Peer& peer)
@@ -490,11 +562,15 @@
         openReplica();
     if (!m_replica.get())
         return;
-    m_replica->tick(nowMillis());
+    {
+        const ControlWorkMeter::Span span(m_workMeter, ControlWork::Replicate);
+        m_replica->tick(nowMillis());
+    }
     notifyApplied();
     expireProposals();
     if (!isRunning())
         return;
+    logElection();
     logLeaderChange();
     m_counters.counter("quorum_term") = m_replica->core()->term();
     m_counters.counter("quorum_commit_index") = m_replica->core()->commitIndex();
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -3,6 +3,7 @@
 #include "control.capnp.h"
 #include "control/ClusterState.h"
 #include "control/CommandLog.h"
+#include "control/ControlWork.h"
 #include "control/QuorumRelay.h"
 #include "control/QuorumReplica.h"
 #include "net/EventLoopThread.h"
@@ -29,7 +30,7 @@
     /// nothing and does not vote. Throws when another process uses the data folder or its journal is damaged or not one
     /// of this release; a failed file operation is retried instead.
     QuorumLog(const settings::ControlSettings& settings, net::EventLoop& loop, ClusterState& state,
-        observe::Counters& counters, std::function<void()> applied);
+        observe::Counters& counters, ControlWorkMeter& workMeter, std::function<void()> applied);
     ~QuorumLog() noexcept override;
 
     /// Proposes a command; a follower forwards it to the leader. Fails with `NotLeader` on an instance without a disk,
@@ -103,11 +104,15 @@
     void failProposals(ProposeStatus status, const std::function<bool(const PendingProposal&)>& fails);
     void logFault();
     void logLeaderChange();
+    void logElection();
+    void logSlowMessage(std::uint32_t to, MessageKind kind, std::size_t bytes, kj::TimePoint sent, bool answered);
+    void countRouteTable(const Command& command);
     void waitForApplied(std::uint64_t index, Done done);
 
     net::EventLoop& m_loop;
     ClusterState& m_state;
     observe::Counters& m_counters;
+    ControlWorkMeter& m_workMeter;
     const std::function<void()> m_applied;
     const settings::ControlSettings m_settings;
     FolderFiles m_files;
@@ -120,6 +125,7 @@
     bool m_faultLogged = false;
     std::uint32_t m_loggedLeader = 0;
     std::uint64_t m_loggedTerm = 0;
+    std::uint64_t m_loggedElections = 0;
     kj::Own<QuorumReplica> m_replica; // null without a disk and until the data folder is locked
     std::optional<QuorumRelay> m_relay; // without a disk only
     kj::TaskSet m_tasks; // last member, so that it is destroyed first
