--- a/src/control/ClusterState.cpp
+++ b/src/control/ClusterState.cpp
@@ -1,6 +1,9 @@
 #include "control/ClusterState.h"
 
+#include "flow/SortedMerge.h"
+
 #include <algorithm>
+#include <functional>
 
 namespace yuccahook::control {
 
@@ -211,12 +214,8 @@
         if (!existing || *existing != route)
             delta.routes.push_back(route);
     }
-    for (const auto& existing : m_membership.routes) {
-        const bool stays = std::any_of(table.routes.begin(), table.routes.end(),
-            [&existing](const flow::PacketRoute& route) { return route.address == existing.address; });
-        if (!stays)
-            delta.removedRoutes.push_back(existing.address);
-    }
+    delta.removedRoutes
+        = flow::missingKeys<net::Address>(m_membership.routes, table.routes, std::mem_fn(&flow::PacketRoute::address));
     // A service that no route names any more is kept, so that its open flows keep their agents.
     for (const auto& listed : table.services) {
         const auto* existing = m_membership.serviceNamed(listed.name);
--- a/src/flow/Membership.cpp
+++ b/src/flow/Membership.cpp
@@ -1,6 +1,9 @@
 #include "flow/Membership.h"
 
+#include "flow/SortedMerge.h"
+
 #include <algorithm>
+#include <functional>
 
 namespace yuccahook::flow {
 
@@ -13,43 +16,8 @@
     return found != values.end() && found->id == id ? &*found : nullptr;
 }
 
-// Replaces or inserts the changed values, then erases the removed ones. Keeps the order by id.
-template <typename Value>
-void merge(std::vector<Value>& values, const std::vector<Value>& changed, const std::vector<std::uint32_t>& removed)
-{
-    for (const auto& value : changed) {
-        if (const Value* existing = findById(values, value.id)) {
-            values[existing - values.data()] = value;
-            continue;
-        }
-        const auto after = std::upper_bound(
-            values.begin(), values.end(), value.id, [](std::uint32_t id, const Value& other) { return id < other.id; });
-        values.insert(after, value);
-    }
-    std::erase_if(values, [&removed](const Value& value) {
-        return std::find(removed.begin(), removed.end(), value.id) != removed.end();
-    });
-}
-
 bool isBefore(const PacketRoute& route, const net::Address& address) { return route.address < address; }
 
-void mergeRoutes(
-    std::vector<PacketRoute>& routes, const std::vector<PacketRoute>& changed, const std::vector<net::Address>& removed)
-{
-    for (const auto& route : changed) {
-        const auto place = std::lower_bound(routes.begin(), routes.end(), route.address, isBefore);
-        if (place != routes.end() && place->address == route.address)
-            *place = route;
-        else
-            routes.insert(place, route);
-    }
-    for (const auto& address : removed) {
-        const auto place = std::lower_bound(routes.begin(), routes.end(), address, isBefore);
-        if (place != routes.end() && place->address == address)
-            routes.erase(place);
-    }
-}
-
 } // namespace
 
 const ServiceSpec* Membership::service(std::uint32_t id) const { return findById(services, id); }
@@ -84,13 +52,13 @@
         *after = before;
     after->cluster = delta.cluster;
     after->revision = delta.revision;
-    merge(after->services, delta.services, delta.removedServices);
-    merge(after->members, delta.members, delta.removedMembers);
+    mergeSorted(after->services, delta.services, delta.removedServices, std::mem_fn(&ServiceSpec::id));
+    mergeSorted(after->members, delta.members, delta.removedMembers, std::mem_fn(&Member::id));
     after->routeVersion = delta.routeVersion;
     after->flowIdleMillis = delta.flowIdleMillis;
     after->evacuated = delta.evacuated;
     after->overload = delta.overload;
-    mergeRoutes(after->routes, delta.routes, delta.removedRoutes);
+    mergeSorted(after->routes, delta.routes, delta.removedRoutes, std::mem_fn(&PacketRoute::address));
     return after;
 }
 
