A change of the route table takes work in proportion to the number of routes

Cause: applying a table compared each route in force with each new one, and routes were put into and taken out of a sorted array one at a time, on the control thread of each instance and of each balancer. At 8,400 routes that is 35 million moves of a route; meanwhile no heartbeat was sent or answered, so that leaders changed. The same held for members that leave in a mass and for views that merge several changes.

Why the fix works: changes and removed keys are sorted once and merged in one pass; the routes that a new table lacks are found by binary search.

--- a/src/control/ClusterState.cpp
+++ b/src/control/ClusterState.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 
 namespace yuccahook::control {
 
@@ -21,6 +22,14 @@
     });
 }
 
+std::set<net::Address> addressesOf(const std::vector<flow::PacketRoute>& routes)
+{
+    std::set<net::Address> addresses;
+    for (const auto& route : routes)
+        addresses.insert(route.address);
+    return addresses;
+}
+
 // Merges a later delta into an earlier one.
 void mergeInto(flow::MembershipDelta& total, const flow::MembershipDelta& next)
 {
@@ -30,10 +39,15 @@
     total.flowIdleMillis = next.flowIdleMillis;
     total.evacuated = next.evacuated;
     total.overload = next.overload;
-    for (const auto& route : next.routes)
-        std::erase(total.removedRoutes, route.address);
-    for (const auto& address : next.removedRoutes)
-        std::erase_if(total.routes, [&address](const flow::PacketRoute& route) { return route.address == address; });
+    if (!next.routes.empty() && !total.removedRoutes.empty()) {
+        const std::set<net::Address> added = addressesOf(next.routes);
+        std::erase_if(total.removedRoutes, [&added](const net::Address& address) { return added.contains(address); });
+    }
+    if (!next.removedRoutes.empty()) {
+        const std::set<net::Address> removed(next.removedRoutes.begin(), next.removedRoutes.end());
+        std::erase_if(
+            total.routes, [&removed](const flow::PacketRoute& route) { return removed.contains(route.address); });
+    }
     total.routes.insert(total.routes.end(), next.routes.begin(), next.routes.end());
     total.removedRoutes.insert(total.removedRoutes.end(), next.removedRoutes.begin(), next.removedRoutes.end());
     total.members.insert(total.members.end(), next.members.begin(), next.members.end());
--- a/src/flow/SortedMerge.h
+++ b/src/flow/SortedMerge.h
@@ -1,42 +1,63 @@
 #pragma once
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 #include <vector>
 
 namespace yuccahook::flow {
 
 /// Applies changes to values that are sorted by key: replaces or inserts each of `changed`, of which the last one with
-/// a key counts, then erases those whose key is in `removed`.
+/// a key counts, then erases those whose key is in `removed`. Passes over the values once.
 template <typename Value, typename Key, typename KeyOf>
-void mergeSorted(
-    std::vector<Value>& values, const std::vector<Value>& changed, const std::vector<Key>& removed, KeyOf keyOf)
+void mergeSorted(std::vector<Value>& values, std::vector<Value> changed, std::vector<Key> removed, KeyOf keyOf)
 {
-    const auto isBefore = [keyOf](const Value& value, const Key& key) { return keyOf(value) < key; };
-    for (const Value& value : changed) {
-        const auto place = std::lower_bound(values.begin(), values.end(), keyOf(value), isBefore);
-        if (place != values.end() && !(keyOf(value) < keyOf(*place)))
-            *place = value;
-        else
-            values.insert(place, value);
-    }
-    for (const Key& key : removed) {
-        const auto place = std::lower_bound(values.begin(), values.end(), key, isBefore);
-        if (place != values.end() && !(key < keyOf(*place)))
-            values.erase(place);
+    if (changed.empty() && removed.empty())
+        return;
+    const auto isBefore = [keyOf](const Value& one, const Value& other) { return keyOf(one) < keyOf(other); };
+    if (!std::is_sorted(changed.begin(), changed.end(), isBefore))
+        std::stable_sort(changed.begin(), changed.end(), isBefore);
+    if (!std::is_sorted(removed.begin(), removed.end()))
+        std::sort(removed.begin(), removed.end());
+    std::vector<Value> merged;
+    merged.reserve(values.size() + changed.size());
+    auto nextRemoved = removed.begin();
+    const auto append = [&](Value& value) {
+        nextRemoved = std::find_if(nextRemoved, removed.end(), [&](const Key& key) { return !(key < keyOf(value)); });
+        const bool isRemoved = nextRemoved != removed.end() && !(keyOf(value) < *nextRemoved);
+        if (!isRemoved)
+            merged.push_back(std::move(value));
+    };
+    auto existing = values.begin();
+    for (auto change = changed.begin(); change != changed.end(); ++change) {
+        const auto next = std::next(change);
+        if (next != changed.end() && !isBefore(*change, *next))
+            continue; // a later change has the same key
+        for (; existing != values.end() && isBefore(*existing, *change); ++existing)
+            append(*existing);
+        if (existing != values.end() && !isBefore(*change, *existing))
+            ++existing;
+        append(*change);
     }
+    for (; existing != values.end(); ++existing)
+        append(*existing);
+    values = std::move(merged);
 }
 
-/// The keys of `values` that none of `others` has.
+/// The keys of `values` that none of `others` has. `others` need not be sorted.
 template <typename Key, typename Value, typename KeyOf>
 std::vector<Key> missingKeys(const std::vector<Value>& values, const std::vector<Value>& others, KeyOf keyOf)
 {
+    std::vector<Key> present;
+    present.reserve(others.size());
+    for (const Value& other : others)
+        present.push_back(keyOf(other));
+    if (!std::is_sorted(present.begin(), present.end()))
+        std::sort(present.begin(), present.end());
     std::vector<Key> missing;
     for (const Value& value : values) {
-        const Key& key = keyOf(value);
-        const bool isPresent = std::any_of(others.begin(), others.end(),
-            [&key, keyOf](const Value& other) { return !(key < keyOf(other)) && !(keyOf(other) < key); });
-        if (!isPresent)
-            missing.push_back(key);
+        if (!std::binary_search(present.begin(), present.end(), keyOf(value)))
+            missing.push_back(keyOf(value));
     }
     return missing;
 }
--- a/tests/flow/SortedMergeTest.cpp
+++ b/tests/flow/SortedMergeTest.cpp
@@ -100,7 +100,7 @@
 
 // Guards against a change of the route table that holds up heartbeats because its work grows with the square of the
 // number of routes.
-TEST_CASE("The work for a change of the route table is in proportion to the number of routes" * doctest::skip())
+TEST_CASE("The work for a change of the route table is in proportion to the number of routes")
 {
     const auto growth = [](auto stepsFor) { return stepsFor(manyRoutes) / stepsFor(fewRoutes); };
 
