An order that is repeated while it is under way adds no entry to the log

Cause: an instance answers 503 after 0.9 s while its proposal goes on. The operator's next attempt, at any instance, appended the whole table once more; all copies had to be sent to each instance, stored and applied before the next change.

Change: a route table that is in the leader's log and not committed yet shares that entry; one that is in force, or overtaken by the table in force, is acknowledged by any instance that has applied it, as what is applied is committed. The table is encoded on the operator server's thread, once for all retries. Barriers do not share entries: that of a deposed leader may be committed before something that was acknowledged before the read.

Why it works: the log holds each content once, and the second attempt is answered as soon as the first is committed.

--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -50,7 +50,7 @@
   deliver @2 (message :Data) -> ();
   # Delivers an encoded QuorumMessage from another control instance.
 
-  propose @3 (command :Data) -> (status :UInt8, index :UInt64);
+  propose @3 (command :Data, repeatable :Bool) -> (status :UInt8, index :UInt64);
   # Proposes an encoded Command; sent by a follower to the leader, which replies once the command is committed.
-  # `status` is control::ProposeStatus.
+  # `status` is control::ProposeStatus. A repeatable command that is under way already shares the entry of the log.
 }
--- a/src/control/Command.cpp
+++ b/src/control/Command.cpp
@@ -110,6 +110,13 @@
     return flatten(message);
 }
 
+// The highest version of the route table is in force, whatever the order. A barrier must not share an entry: that of a
+// deposed leader may be committed before something that was acknowledged before the read.
+EncodedCommand encode(const Command& command)
+{
+    return { encodeCommand(command), std::holds_alternative<PublishRoutes>(command) };
+}
+
 std::optional<Command> decode(const std::string& bytes)
 {
     if (bytes.size() % sizeof(capnp::word) != 0)
--- a/src/control/Command.h
+++ b/src/control/Command.h
@@ -39,6 +39,15 @@
 /// A command of the replicated state machine.
 using Command = std::variant<SubmitNote, UpdateMembers, PublishRoutes, Barrier, SetEvacuation>;
 
+/// A command as the log stores it.
+struct EncodedCommand {
+    std::string bytes;
+    /// Whether a copy that is proposed while another one is not yet committed may share its entry, because the command
+    /// has the same effect wherever it stands in the log.
+    bool isRepeatable = false;
+};
+
+EncodedCommand encode(const Command& command);
 std::string encodeCommand(const Command& command);
 
 /// Returns nothing when the bytes are not a command that this release can read.
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -115,7 +115,9 @@
 
     kj::Promise<void> propose(ProposeContext context) override
     {
-        const auto command = context.getParams().getCommand();
+        const auto bytes = context.getParams().getCommand();
+        EncodedCommand command { { reinterpret_cast<const char*>(bytes.begin()), bytes.size() },
+            context.getParams().getRepeatable() };
         auto paf = kj::newPromiseAndFulfiller<void>();
         auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(paf.fulfiller));
         auto callback = [context, fulfiller](ProposeStatus status, std::uint64_t index) mutable {
@@ -124,7 +126,7 @@
             results.setIndex(index);
             (*fulfiller)->fulfill();
         };
-        m_node.m_log->proposeLocally({ reinterpret_cast<const char*>(command.begin()), command.size() }, callback);
+        m_node.m_log->proposeLocally(std::move(command), callback);
         return kj::mv(paf.promise);
     }
 
@@ -377,31 +379,37 @@
 }
 
 // Proposes again until the deadline while there is no leader or no quorum, as during an election.
-void ControlNode::proposeWithRetry(
-    std::shared_ptr<Command> command, kj::TimePoint deadline, std::function<void(ProposeStatus)> done)
+void ControlNode::proposeWithRetry(std::shared_ptr<const EncodedCommand> command,
+    const std::function<bool()>& isInForce, kj::TimePoint deadline, std::function<void(ProposeStatus)> done)
 {
-    m_log->propose(*command, [this, command, deadline, done = std::move(done)](ProposeStatus status) {
+    if (isInForce()) {
+        done(ProposeStatus::Committed);
+        return;
+    }
+    m_log->propose(*command, [this, command, isInForce, deadline, done = std::move(done)](ProposeStatus status) {
         const bool isTransient = status == ProposeStatus::NotLeader || status == ProposeStatus::NoQuorum;
         if (!isTransient || m_loop->timer().now() >= deadline) {
             done(status);
             return;
         }
-        m_loop->spawn(m_loop->timer().afterDelay(proposalRetryDelay).then([this, command, deadline, done] {
-            proposeWithRetry(command, deadline, done);
+        m_loop->spawn(m_loop->timer().afterDelay(proposalRetryDelay).then([this, command, isInForce, deadline, done] {
+            proposeWithRetry(command, isInForce, deadline, done);
         }));
     });
 }
 
-ProposeStatus ControlNode::proposeAndWait(Command command, const std::function<void()>& whenCommitted)
+// The command is encoded on the caller's thread, because a large one would hold up the control thread's heartbeats.
+ProposeStatus ControlNode::proposeAndWait(
+    const Command& command, const std::function<void()>& whenCommitted, const std::function<bool()>& isInForce)
 {
     auto result = std::make_shared<std::promise<ProposeStatus>>();
     auto finished = result->get_future();
-    const auto shared = std::make_shared<Command>(std::move(command));
+    const auto shared = std::make_shared<const EncodedCommand>(encode(command));
     const auto began = std::chrono::steady_clock::now();
-    const bool queued = m_thread.post([this, shared, result, whenCommitted](net::EventLoop& loop) {
+    const bool queued = m_thread.post([this, shared, result, whenCommitted, isInForce](net::EventLoop& loop) {
         const auto deadline
             = loop.timer().now() + std::chrono::milliseconds(proposalTimeout).count() * kj::MILLISECONDS;
-        proposeWithRetry(shared, deadline, [this, result, whenCommitted](ProposeStatus status) {
+        proposeWithRetry(shared, isInForce, deadline, [this, result, whenCommitted](ProposeStatus status) {
             if (status == ProposeStatus::Committed) {
                 whenCommitted();
                 wakeSubscribers();
@@ -421,7 +429,10 @@
 ProposeStatus ControlNode::publishRouteTable(const flow::RouteTable& table)
 {
     const auto began = std::chrono::steady_clock::now();
-    const auto status = proposeAndWait(PublishRoutes { table }, [] {});
+    // A state that was applied is committed, so any instance may acknowledge a table that it has or that is overtaken.
+    const auto isInForce = [this, version = table.version] { return m_state->membership().routeVersion >= version; };
+    const auto status = proposeAndWait(
+        PublishRoutes { table }, [] {}, isInForce);
     const auto elapsed = std::chrono::steady_clock::now() - began;
     m_counters.counter("route_tables_total", "status", kernel::nameOf(status)) += 1;
     observe::log(status == ProposeStatus::Committed ? observe::Level::Info : observe::Level::Warn, "route-table",
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -82,9 +82,11 @@
     LeaseTable::Time now() const;
     void removeExpiredMembers();
     void proposeMemberUpdate();
-    ProposeStatus proposeAndWait(Command command, const std::function<void()>& whenCommitted);
-    void proposeWithRetry(
-        std::shared_ptr<Command> command, kj::TimePoint deadline, std::function<void(ProposeStatus)> done);
+    ProposeStatus proposeAndWait(
+        const Command& command, const std::function<void()>& whenCommitted,
+        const std::function<bool()>& isInForce = [] { return false; });
+    void proposeWithRetry(std::shared_ptr<const EncodedCommand> command, const std::function<bool()>& isInForce,
+        kj::TimePoint deadline, std::function<void(ProposeStatus)> done);
     kj::Promise<void> waitForNewerRevision(std::uint64_t revision);
     void wakeSubscribers();
     net::HttpResponse runOnControlThread(std::function<void(net::HttpResponse&, std::function<void()>)> work);
--- a/src/control/QuorumCore.cpp
+++ b/src/control/QuorumCore.cpp
@@ -102,6 +102,18 @@
     return lastIndex();
 }
 
+std::optional<std::pair<std::uint64_t, std::uint64_t>> QuorumCore::uncommittedEntry(const std::string& command) const
+{
+    if (m_role != QuorumRole::Leader)
+        return std::nullopt;
+    for (std::uint64_t index = m_commitIndex + 1; index <= lastIndex(); ++index) {
+        const QuorumEntry& entry = m_log[index - m_snapshot.index - 1];
+        if (entry.kind == EntryKind::Command && entry.payload == command)
+            return std::pair { index, entry.term };
+    }
+    return std::nullopt;
+}
+
 void QuorumCore::transferLeadership()
 {
     if (m_role != QuorumRole::Leader || m_transferTarget != 0)
--- a/src/control/QuorumCore.h
+++ b/src/control/QuorumCore.h
@@ -87,6 +87,10 @@
     /// leadership or has too many uncommitted entries.
     std::optional<std::uint64_t> propose(std::string command);
 
+    /// The index and term of an entry that contains this command and is not committed yet. Nothing when there is none
+    /// or this instance is not the leader.
+    std::optional<std::pair<std::uint64_t, std::uint64_t>> uncommittedEntry(const std::string& command) const;
+
     /// Adds instances to contact in search of the quorum. At most 32 are kept; further ones are ignored.
     void addDiscoveryPeers(const std::vector<std::uint32_t>& discoveryPeers);
 
--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -210,19 +210,24 @@
 
 void QuorumLog::propose(const Command& command, Done done)
 {
-    std::string bytes;
+    EncodedCommand encoded;
     {
         const ControlWorkMeter::Span span(m_workMeter, ControlWork::EncodeCommand);
-        bytes = encodeCommand(command);
+        encoded = encode(command);
     }
+    propose(encoded, std::move(done));
+}
+
+void QuorumLog::propose(const EncodedCommand& command, Done done)
+{
     if (!isRunning() || m_replica->core()->role() == QuorumRole::Leader) {
-        proposeLocally(
-            std::move(bytes), [done = std::move(done)](ProposeStatus status, std::uint64_t) { done(status); });
+        proposeLocally(command, [done = std::move(done)](ProposeStatus status, std::uint64_t) { done(status); });
         return;
     }
     KJ_IF_MAYBE (control, leaderClient()) {
         auto request = control->proposeRequest();
-        request.setCommand(dataOf(bytes));
+        request.setCommand(dataOf(command.bytes));
+        request.setRepeatable(command.isRepeatable);
         auto reply = m_loop.timer().timeoutAfter(proposalTimeout, request.send());
         auto shared = std::make_shared<Done>(std::move(done));
         m_tasks.add(reply.then(
@@ -239,7 +244,7 @@
     done(ProposeStatus::NotLeader);
 }
 
-void QuorumLog::proposeLocally(std::string command, ProposalCallback callback)
+void QuorumLog::proposeLocally(EncodedCommand command, ProposalCallback callback)
 {
     if (!isRunning()) {
         callback(m_relay ? ProposeStatus::NotLeader : ProposeStatus::StorageFailed, 0);
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -36,6 +36,7 @@
     /// Proposes a command; a follower forwards it to the leader. Fails with `NotLeader` on an instance without a disk,
     /// which directs operators to `operatorTarget`.
     void propose(const Command& command, Done done) override;
+    void propose(const EncodedCommand& command, Done done);
     bool isActiveLeader() const override;
     bool isCurrent() const override;
 
@@ -44,7 +45,7 @@
 
     /// Proposes an encoded command here and does not forward it; fails with `NotLeader` when this instance is not the
     /// leader.
-    void proposeLocally(std::string command, ProposalCallback callback);
+    void proposeLocally(EncodedCommand command, ProposalCallback callback);
 
     /// Handles an encoded QuorumMessage of another instance. A malformed one is counted and dropped.
     void receive(const std::string& message);
--- a/src/control/QuorumReplica.cpp
+++ b/src/control/QuorumReplica.cpp
@@ -65,6 +65,15 @@
     return std::pair { *index, m_core->term() };
 }
 
+std::optional<std::pair<std::uint64_t, std::uint64_t>> QuorumReplica::propose(EncodedCommand command)
+{
+    if (command.isRepeatable && isRunning()) {
+        if (const auto underWay = m_core->uncommittedEntry(command.bytes))
+            return underWay;
+    }
+    return propose(std::move(command.bytes));
+}
+
 void QuorumReplica::addDiscoveryPeers(const std::vector<std::uint32_t>& discoveryPeers)
 {
     m_addedPeers.insert(discoveryPeers.begin(), discoveryPeers.end());
--- a/src/control/QuorumReplica.h
+++ b/src/control/QuorumReplica.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/Command.h"
 #include "control/Journal.h"
 #include "control/QuorumCore.h"
 
@@ -66,6 +67,9 @@
     /// Proposes a command and returns its index and term. Nothing when this instance is not the leader or refuses the
     /// command. Call `flush` after the last command of a batch.
     std::optional<std::pair<std::uint64_t, std::uint64_t>> propose(std::string command);
+
+    /// Like `propose`, but a repeatable command that is under way already shares the entry.
+    std::optional<std::pair<std::uint64_t, std::uint64_t>> propose(EncodedCommand command);
     void transferLeadership();
 
     /// Adds instances to contact in search of the quorum.
--- a/tests/control/QuorumSimulation.cpp
+++ b/tests/control/QuorumSimulation.cpp
@@ -354,6 +354,25 @@
     return number;
 }
 
+std::uint64_t QuorumSimulation::publishRoutes(const flow::RouteTable& table)
+{
+    const std::uint32_t id = leader();
+    std::uint64_t index = 0;
+    if (id == 0)
+        return index;
+    runCatchingCrash(id, [&](Instance& instance) {
+        if (const auto proposed = instance.replica->propose(encode(PublishRoutes { table })))
+            index = proposed->first;
+        instance.replica->flush();
+    });
+    return index;
+}
+
+std::uint64_t QuorumSimulation::routeVersion(std::uint32_t id) const
+{
+    return m_instances.at(id)->state.membership().routeVersion;
+}
+
 const std::vector<std::string>& QuorumSimulation::evacuated(std::uint32_t id) const
 {
     return m_instances.at(id)->state.membership().evacuated;
--- a/tests/control/QuorumSimulation.h
+++ b/tests/control/QuorumSimulation.h
@@ -75,6 +75,13 @@
     std::uint64_t evacuate(std::uint32_t id, const std::string& domain, bool active);
     const std::set<std::uint64_t>& acknowledgedOrders() const { return m_acknowledgedOrders; }
 
+    /// Proposes a route table at the leader, as an operator who repeats an order that was not acknowledged does.
+    /// Returns the index of its entry; 0 when it can't be proposed.
+    std::uint64_t publishRoutes(const flow::RouteTable& table);
+
+    /// Version of the route table in force at an instance.
+    std::uint64_t routeVersion(std::uint32_t id) const;
+
     /// Reads the state at an instance, as operators do: an entry of the log orders the read after all acknowledgements
     /// so far. Checks that the state read has all notes that were accepted before.
     void read(std::uint32_t id);
