Large messages between control instances go in parts that heartbeats overtake

Cause: a table is one entry and so one message, up to 3.2 MB. A message without a reply within 0.8 s was given up together with its connection, and with all that waited on it, heartbeats and votes included; the next leader sent all of it again.

Change: a message over 32 KiB is sent in parts, eight of which are unanswered at most; smaller messages go between them. The time limit is that of a part. The reply to a heartbeat that overtook a transfer no longer counts as the loss of the append. Instances of an earlier release get whole messages.

Why it works: a heartbeat waits behind 256 KiB at most, and a transfer lasts as long as its parts are answered. The simulation runs the same classes over links of 8 Mbit/s: an entry of 3 MB is committed with no election and sent once to each instance. The deliberate defects, whole transfers and a transfer that counts as lost, are detected.

--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -50,6 +50,10 @@
   deliver @2 (message :Data) -> ();
   # Delivers an encoded QuorumMessage from another control instance.
 
+  deliverPart @4 (sender :UInt32, transfer :UInt64, offset :UInt64, totalBytes :UInt64, bytes :Data) -> ();
+  # Delivers a part of an encoded QuorumMessage that is too large for `deliver`. Parts come in order; one that does not
+  # continue the sender's transfer is refused.
+
   propose @3 (command :Data, repeatable :Bool) -> (status :UInt8, index :UInt64);
   # Proposes an encoded Command; sent by a follower to the leader, which replies once the command is committed.
   # `status` is control::ProposeStatus. A repeatable command that is under way already shares the entry of the log.
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -113,6 +113,16 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> deliverPart(DeliverPartContext context) override
+    {
+        const auto params = context.getParams();
+        const auto bytes = params.getBytes();
+        m_node.m_log->receivePart(params.getSender(),
+            { params.getTransfer(), params.getOffset(), params.getTotalBytes(),
+                { reinterpret_cast<const char*>(bytes.begin()), bytes.size() } });
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> propose(ProposeContext context) override
     {
         const auto bytes = context.getParams().getCommand();
--- a/src/control/QuorumCore.cpp
+++ b/src/control/QuorumCore.cpp
@@ -50,9 +50,10 @@
         = m_nowMillis + m_timings.initialElectionTimeoutMillis + m_random() % m_timings.initialElectionTimeoutMillis;
 }
 
-void QuorumCore::receive(const QuorumMessage& message, std::uint64_t nowMillis)
+void QuorumCore::receive(const QuorumMessage& message, std::uint64_t nowMillis, bool isTransferring)
 {
     m_nowMillis = nowMillis;
+    m_isTransferring = isTransferring;
     if (message.to != m_id || message.from == m_id)
         return;
     const bool otherCluster = m_cluster != 0 && message.cluster != 0 && message.cluster != m_cluster;
--- a/src/control/QuorumCore.h
+++ b/src/control/QuorumCore.h
@@ -78,7 +78,8 @@
         Random random, QuorumTimings timings, std::uint64_t nowMillis);
 
     /// Handles a message of another instance. One of another cluster, or for another instance, is ignored.
-    void receive(const QuorumMessage& message, std::uint64_t nowMillis);
+    /// `isTransferring`: whether a large message to the sender is under way, behind which heartbeats do not wait.
+    void receive(const QuorumMessage& message, std::uint64_t nowMillis, bool isTransferring = false);
 
     /// Performs what is due by time: heartbeats, elections, hellos and voter changes.
     void tick(std::uint64_t nowMillis);
@@ -149,6 +150,7 @@
         std::uint64_t sentCommitIndex = 0;
         std::uint64_t lastContactMillis = 0; ///< When the newest message that the peer has answered was sent.
         bool awaitsReply = false;
+        std::uint64_t awaitedIndex = 0; ///< Last index of the unanswered message.
     };
 
     using Handler = void (QuorumCore::*)(const QuorumMessage&);
@@ -244,6 +246,7 @@
     QuorumOutput m_output;
     std::optional<std::uint64_t> m_firstChangedIndex;
     bool m_hasLogConflict = false;
+    bool m_isTransferring = false; // to the sender of the message that is handled
     bool m_voteChanged = false;
     bool m_snapshotChanged = false;
 };
--- a/src/control/QuorumElection.cpp
+++ b/src/control/QuorumElection.cpp
@@ -155,7 +155,7 @@
     for (const std::uint32_t peer : knownPeers()) {
         const auto granted = m_grantedBy.find(peer);
         const std::uint64_t disk = granted != m_grantedBy.end() ? granted->second : 0;
-        m_progress[peer] = { disk, 0, lastIndex() + 1, 0, disk != 0 ? m_nowMillis : 0, false };
+        m_progress[peer] = { disk, 0, lastIndex() + 1, 0, disk != 0 ? m_nowMillis : 0 };
     }
     m_leaderSinceMillis = m_nowMillis;
     append({ m_vote.term, EntryKind::TermStart, 0, {}, {} });
--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -72,6 +72,8 @@
     std::optional<QuorumMessage> pendingMessage {}; // newest message, sent once connected
     std::size_t inFlight = 0;
     bool connecting = false;
+    OutgoingTransfers transfers {}; // on the present connection
+    bool takesParts = true; // false for an instance of an earlier release
 };
 
 QuorumLog::QuorumLog(const settings::ControlSettings& settings, net::EventLoop& loop, ClusterState& state,
@@ -439,6 +441,14 @@
     notifyApplied();
 }
 
+void QuorumLog::receivePart(std::uint32_t sender, const MessagePart& part)
+{
+    auto result = m_incoming.add(sender, part);
+    KJ_REQUIRE(result.status != IncomingTransfers::Status::Refused, "the part does not continue a transfer");
+    if (result.status == IncomingTransfers::Status::Complete)
+        receive(result.message);
+}
+
 void QuorumLog::sendRelayMessages()
 {
     for (const auto& message : m_relay->takeMessages())
@@ -474,34 +484,99 @@
         m_counters.counter("quorum_messages_dropped_total") += 1;
         return;
     }
-    auto request = peer.connection->control.deliverRequest();
-    const bool hasAddresses = message.kind == MessageKind::Hello || message.kind == MessageKind::HelloReply;
     std::string bytes;
     {
         const ControlWorkMeter::Span span(m_workMeter, ControlWork::EncodeMessage);
+        const bool hasAddresses = message.kind == MessageKind::Hello || message.kind == MessageKind::HelloReply;
         bytes = hasAddresses ? encodeMessage(withAddresses(message)) : encodeMessage(message);
-        request.setMessage(dataOf(bytes));
     }
-    ++peer.inFlight;
     m_counters.counter("quorum_bytes_sent_total", "kind", kernel::nameOf(message.kind)) += bytes.size();
-    const auto logIfSlow
-        = [this, to = message.to, kind = message.kind, size = bytes.size(), began = m_loop.timer().now()](
-              bool answered) { logSlowMessage(to, kind, size, began, answered); };
+    if (bytes.size() <= OutgoingTransfers::partBytes || !peer.takesParts) {
+        sendWhole(peer, message.kind, message.to, bytes);
+        return;
+    }
+    if (!peer.transfers.add(std::move(bytes)))
+        m_counters.counter("quorum_messages_dropped_total") += 1;
+    sendParts(peer);
+}
+
+void QuorumLog::sendWhole(Peer& peer, MessageKind kind, std::uint32_t to, const std::string& bytes)
+{
+    auto request = peer.connection->control.deliverRequest();
+    request.setMessage(dataOf(bytes));
+    ++peer.inFlight;
+    const auto logIfSlow = [this, to, kind, size = bytes.size(), began = m_loop.timer().now()](
+                               bool answered) { logSlowMessage(to, kind, size, began, answered); };
     auto sent = m_loop.timer().timeoutAfter(messageTimeout, request.send().ignoreResult());
     m_tasks.add(sent.then(
         [&peer, logIfSlow] {
             --peer.inFlight;
             logIfSlow(true);
         },
-        [&peer, logIfSlow, connection = peer.connectionNumber](kj::Exception&&) {
+        [this, &peer, logIfSlow, connection = peer.connectionNumber](kj::Exception&&) {
             --peer.inFlight;
             if (peer.connectionNumber != connection || peer.connection.get() == nullptr)
                 return; // an earlier message has closed the connection
             logIfSlow(false);
-            peer.connection = nullptr;
+            closeConnection(peer);
+        }));
+}
+
+void QuorumLog::sendParts(Peer& peer)
+{
+    while (peer.connection.get() != nullptr) {
+        const auto part = peer.transfers.next();
+        if (!part)
+            return;
+        sendPart(peer, *part);
+    }
+}
+
+// The time limit is that of one part, however many a message has.
+void QuorumLog::sendPart(Peer& peer, const MessagePart& part)
+{
+    auto request = peer.connection->control.deliverPartRequest();
+    request.setSender(m_settings.id);
+    request.setTransfer(part.transfer);
+    request.setOffset(part.offset);
+    request.setTotalBytes(part.totalBytes);
+    request.setBytes(dataOf(part.bytes));
+    auto sent = m_loop.timer().timeoutAfter(messageTimeout, request.send().ignoreResult());
+    m_tasks.add(sent.then(
+        [this, &peer, connection = peer.connectionNumber] {
+            if (peer.connectionNumber != connection || peer.connection.get() == nullptr)
+                return;
+            peer.transfers.confirm();
+            sendParts(peer);
+        },
+        [this, &peer, part, connection = peer.connectionNumber](kj::Exception&& exception) {
+            if (peer.connectionNumber != connection || peer.connection.get() == nullptr)
+                return;
+            if (exception.getType() == kj::Exception::Type::UNIMPLEMENTED) {
+                peer.takesParts = false; // an earlier release
+                peer.transfers.abort();
+                return;
+            }
+            m_counters.counter("quorum_transfers_broken_total") += 1;
+            observe::log(observe::Level::Info, "quorum-transfer-broken",
+                { { "to", peer.address.text() }, { "bytes", part.offset }, { "of", part.totalBytes },
+                    { "reason", exception.getDescription().cStr() } });
+            closeConnection(peer);
         }));
 }
 
+bool QuorumLog::isTransferring(std::uint32_t to) const
+{
+    const auto found = m_peers.find(to);
+    return found != m_peers.end() && found->second->transfers.isActive();
+}
+
+void QuorumLog::closeConnection(Peer& peer)
+{
+    peer.connection = nullptr;
+    peer.transfers.abort();
+}
+
 void QuorumLog::logSlowMessage(std::uint32_t to, MessageKind kind, std::size_t bytes, kj::TimePoint sent, bool answered)
 {
     const auto elapsed = m_loop.timer().now() - sent;
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -4,6 +4,7 @@
 #include "control/ClusterState.h"
 #include "control/CommandLog.h"
 #include "control/ControlWork.h"
+#include "control/MessageTransfer.h"
 #include "control/QuorumRelay.h"
 #include "control/QuorumReplica.h"
 #include "net/EventLoopThread.h"
@@ -50,6 +51,9 @@
     /// Handles an encoded QuorumMessage of another instance. A malformed one is counted and dropped.
     void receive(const std::string& message);
 
+    /// Handles a part of a large message. Throws when it does not continue the sender's transfer.
+    void receivePart(std::uint32_t sender, const MessagePart& part);
+
     /// The leader's RPC interface. Null when this instance is the leader, knows none or is not connected to it.
     kj::Maybe<schema::Control::Client> leaderClient();
 
@@ -75,6 +79,7 @@
     };
 
     void send(const QuorumMessage& message) override;
+    bool isTransferring(std::uint32_t to) const override;
     void apply(std::uint64_t index, const QuorumEntry& entry) override;
     void restore(const QuorumSnapshot& snapshot) override;
     void reset() override;
@@ -98,6 +103,10 @@
     net::Address operatorAddress() const;
     QuorumMessage withAddresses(QuorumMessage message) const;
     void connect(Peer& peer);
+    void closeConnection(Peer& peer);
+    void sendWhole(Peer& peer, MessageKind kind, std::uint32_t to, const std::string& bytes);
+    void sendParts(Peer& peer);
+    void sendPart(Peer& peer, const MessagePart& part);
     kj::Promise<void> waitForOtherLeader(std::function<void()> done, kj::TimePoint deadline);
     void scheduleFlush();
     void notifyApplied();
@@ -121,6 +130,7 @@
     std::multimap<std::uint64_t, PendingProposal> m_pendingProposals; // by index
     std::multimap<std::uint64_t, PendingProposal> m_pendingForwards; // by the index that must be applied first
     std::uint64_t m_appliedIndex = 0;
+    IncomingTransfers m_incoming;
     bool m_stateChanged = false;
     bool m_flushScheduled = false;
     bool m_faultLogged = false;
--- a/src/control/QuorumReplica.cpp
+++ b/src/control/QuorumReplica.cpp
@@ -44,7 +44,7 @@
 {
     if (!isRunning())
         return;
-    m_core->receive(message, nowMillis);
+    m_core->receive(message, nowMillis, m_host.isTransferring(message.from));
     flush();
 }
 
--- a/src/control/QuorumReplica.h
+++ b/src/control/QuorumReplica.h
@@ -23,6 +23,9 @@
     virtual ~QuorumHost() = default;
 
     virtual void send(const QuorumMessage& message) = 0;
+
+    /// Whether a large message to an instance is under way that later messages may overtake.
+    virtual bool isTransferring(std::uint32_t to) const = 0;
     virtual void apply(std::uint64_t index, const QuorumEntry& entry) = 0;
     virtual void restore(const QuorumSnapshot& snapshot) = 0;
 
--- a/src/control/QuorumReplication.cpp
+++ b/src/control/QuorumReplication.cpp
@@ -57,7 +57,7 @@
     for (const auto* voters : { &configuration().voters, &configuration().joining }) {
         for (const auto& [id, disk] : *voters) {
             if (m_role == QuorumRole::Leader && id != m_id)
-                m_progress.try_emplace(id, Progress { disk, 0, lastIndex() + 1, 0, m_nowMillis, false });
+                m_progress.try_emplace(id, Progress { disk, 0, lastIndex() + 1, 0, m_nowMillis });
         }
     }
 }
@@ -85,6 +85,7 @@
     }
     progress.sentCommitIndex = m_commitIndex;
     progress.awaitsReply = true;
+    progress.awaitedIndex = message.index + message.entries.size();
     send(std::move(message));
 }
 
@@ -95,6 +96,7 @@
     message.echo = m_nowMillis;
     message.snapshot = m_snapshot;
     m_progress[peer].awaitsReply = true;
+    m_progress[peer].awaitedIndex = m_snapshot.index;
     send(std::move(message));
 }
 
@@ -108,7 +110,8 @@
 }
 
 // Each peer has at most one unanswered append with entries; those that arrive meanwhile go into the next one. A peer
-// that has not answered gets heartbeats only, however much it lacks. The reply to one replaces an append that was lost.
+// that has not answered gets heartbeats only, however much it lacks. The reply to one shows that an append was lost,
+// unless that is still being transferred.
 void QuorumCore::replicateToAll(bool evenUnanswered)
 {
     for (const auto& [peer, progress] : m_progress) {
@@ -190,9 +193,10 @@
     Progress& progress = known->second;
     if (progress.disk != reply.disk)
         // another disk has none of the acknowledged entries
-        progress = { reply.disk, 0, progress.nextIndex, 0, 0, false };
+        progress = { reply.disk, 0, progress.nextIndex, 0, 0 };
     progress.lastContactMillis = std::max(progress.lastContactMillis, reply.echo);
-    progress.awaitsReply = false;
+    const bool isHeartbeatReply = reply.granted && reply.index < progress.awaitedIndex;
+    progress.awaitsReply = progress.awaitsReply && isHeartbeatReply && m_isTransferring;
     if (!reply.granted) {
         const std::uint64_t refusedIndex = progress.nextIndex;
         progress.nextIndex = std::min(std::max(progress.matchIndex, reply.index), lastIndex()) + 1;
--- a/src/control/QuorumVoters.cpp
+++ b/src/control/QuorumVoters.cpp
@@ -18,7 +18,7 @@
     if (m_role != QuorumRole::Leader || message.disk == 0)
         return;
     const auto [progress, isNew]
-        = m_progress.try_emplace(message.from, Progress { message.disk, 0, lastIndex() + 1, 0, m_nowMillis, false });
+        = m_progress.try_emplace(message.from, Progress { message.disk, 0, lastIndex() + 1, 0, m_nowMillis });
     if (isNew)
         replicate(message.from);
 }
--- a/tests/control/QuorumSimulation.cpp
+++ b/tests/control/QuorumSimulation.cpp
@@ -1,5 +1,6 @@
 #include "control/QuorumSimulation.h"
 
+#include "control/QuorumCodec.h"
 #include "control/SnapshotCodec.h"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 constexpr std::size_t compactAfterEntries = 20;
 constexpr std::uint64_t finalNoteNumber = 1'000'000;
 constexpr std::size_t maximumInstances = 7;
+constexpr std::uint64_t latencyMillis = 2;
+constexpr std::uint64_t messageTimeoutMillis = 800; // as of connections between control instances
 
 std::string noteText(std::uint64_t number, std::uint64_t content)
 {
@@ -63,6 +66,7 @@
     }
 
     void send(const QuorumMessage& message) override { m_simulation.enqueue(message); }
+    bool isTransferring(std::uint32_t to) const override { return m_simulation.isTransferring(m_id, to); }
 
     void apply(std::uint64_t index, const QuorumEntry& entry) override
     {
@@ -217,6 +221,13 @@
     auto& instance = *m_instances.at(id);
     instance.replica.reset();
     instance.files.crash();
+    m_incoming.erase(id);
+    for (auto& [ends, link] : m_links) {
+        if (ends.first != id && ends.second != id)
+            continue;
+        ++link.connection;
+        link.transfers.abort();
+    }
 }
 
 void QuorumSimulation::loseDisk(std::uint32_t id)
@@ -385,7 +396,9 @@
         return false;
     bool accepted = false;
     runCatchingCrash(id, [&](Instance& instance) {
-        accepted = instance.replica->propose(encodeCommand(SubmitNote { std::string(bytes, 'x') })).has_value();
+        std::string text(bytes, ' ');
+        std::generate(text.begin(), text.end(), [this] { return static_cast<char>(1 + below(UINT8_MAX)); });
+        accepted = instance.replica->propose(encodeCommand(SubmitNote { text })).has_value();
         instance.replica->flush();
     });
     return accepted;
@@ -435,6 +448,10 @@
     m_largestMessageBytes = std::max(m_largestMessageBytes, bytes);
     if (m_droppedLinks.contains({ message.from, message.to }) || (m_faultyNetwork && below(20) == 0))
         return;
+    if (m_bytesPerMilli > 0) {
+        enqueueOnLimitedLink(message);
+        return;
+    }
     const std::uint64_t copies = m_faultyNetwork && below(20) == 0 ? 2 : 1;
     for (std::uint64_t copy = 0; copy < copies; ++copy) {
         const std::uint64_t delayMillis = m_faultyNetwork && below(10) == 0 ? below(2000) : 0;
@@ -442,6 +459,83 @@
     }
 }
 
+void QuorumSimulation::schedule(std::uint64_t atMillis, std::function<void()> event)
+{
+    m_network.push({ atMillis, m_nextOrder++, {}, std::move(event) });
+}
+
+// Returns when the last of these bytes has been sent.
+std::uint64_t QuorumSimulation::occupyLink(Link& link, std::size_t bytes) const
+{
+    link.busyUntilMillis = std::max(link.busyUntilMillis, m_now) + bytes / m_bytesPerMilli;
+    return link.busyUntilMillis;
+}
+
+void QuorumSimulation::enqueueOnLimitedLink(const QuorumMessage& message)
+{
+    const LinkEnds ends { message.from, message.to };
+    Link& link = m_links[ends];
+    std::string bytes = encodeMessage(message);
+    const bool isLarge = bytes.size() > OutgoingTransfers::partBytes;
+    if (isLarge && m_mutation != Mutation::WholeTransfers) {
+        link.transfers.add(std::move(bytes));
+        sendParts(ends);
+        return;
+    }
+    if (m_now < link.closedUntilMillis)
+        return; // lost with the connection that is about to be closed
+    const std::uint64_t arrivesMillis = occupyLink(link, bytes.size()) + latencyMillis;
+    if (arrivesMillis - m_now > messageTimeoutMillis) {
+        link.closedUntilMillis = link.busyUntilMillis = m_now + messageTimeoutMillis;
+        return;
+    }
+    m_network.push({ arrivesMillis, m_nextOrder++, message });
+}
+
+void QuorumSimulation::sendParts(LinkEnds ends)
+{
+    Link& link = m_links[ends];
+    while (const auto part = link.transfers.next()) {
+        schedule(occupyLink(link, part->bytes.size()) + latencyMillis,
+            [this, ends, part, connection = link.connection] { receivePart(ends, *part, connection); });
+    }
+}
+
+void QuorumSimulation::receivePart(LinkEnds ends, const MessagePart& part, std::uint64_t connection)
+{
+    const auto [from, to] = ends;
+    if (m_links[ends].connection != connection)
+        return;
+    const bool isLost = m_droppedLinks.contains(ends) || !m_instances.contains(to) || !m_instances.at(to)->isRunning()
+        || m_now < m_frozenUntil[to];
+    auto result = isLost ? IncomingTransfers::Result { IncomingTransfers::Status::Refused, {} }
+                         : m_incoming[to].add(from, part);
+    if (result.status == IncomingTransfers::Status::Refused) {
+        schedule(m_now + messageTimeoutMillis, [this, ends, connection] {
+            Link& link = m_links[ends];
+            if (link.connection != connection)
+                return;
+            ++link.connection;
+            link.transfers.abort();
+        });
+        return;
+    }
+    schedule(m_now + latencyMillis, [this, ends, connection] {
+        if (m_links[ends].connection != connection)
+            return;
+        m_links[ends].transfers.confirm();
+        sendParts(ends);
+    });
+    if (result.status == IncomingTransfers::Status::Complete)
+        deliver(*decodeMessage(result.message));
+}
+
+bool QuorumSimulation::isTransferring(std::uint32_t from, std::uint32_t to) const
+{
+    const auto link = m_links.find({ from, to });
+    return m_mutation != Mutation::TransferTakenForLost && link != m_links.end() && link->second.transfers.isActive();
+}
+
 // Requests a newer revision from a random instance, as a balancer does.
 void QuorumSimulation::subscribe()
 {
@@ -455,20 +549,28 @@
     m_subscribedRevision = newest;
 }
 
+void QuorumSimulation::deliver(const QuorumMessage& message)
+{
+    if (const auto relay = m_relays.find(message.to); relay != m_relays.end())
+        relay->second.receive(message, m_now);
+    if (!m_instances.contains(message.to) || m_now < m_frozenUntil[message.to])
+        return;
+    runCatchingCrash(message.to, [&](Instance& instance) {
+        if (instance.isRunning())
+            instance.replica->receive(message, m_now - m_clockLagMillis[message.to]);
+    });
+}
+
 void QuorumSimulation::step()
 {
     m_now += tickMillis;
     while (!m_network.empty() && m_network.top().atMillis <= m_now) {
-        const QuorumMessage message = m_network.top().message;
+        const Delivery delivery = m_network.top();
         m_network.pop();
-        if (const auto relay = m_relays.find(message.to); relay != m_relays.end())
-            relay->second.receive(message, m_now);
-        if (!m_instances.contains(message.to) || m_now < m_frozenUntil[message.to])
-            continue;
-        runCatchingCrash(message.to, [&](Instance& instance) {
-            if (instance.isRunning())
-                instance.replica->receive(message, m_now - m_clockLagMillis[message.to]);
-        });
+        if (delivery.event)
+            delivery.event();
+        else
+            deliver(delivery.message);
     }
     for (const auto& [id, instance] : m_instances) {
         if (m_now < m_frozenUntil[id]) {
--- a/tests/control/QuorumSimulation.h
+++ b/tests/control/QuorumSimulation.h
@@ -2,9 +2,11 @@
 
 #include "control/ClusterState.h"
 #include "control/FaultyFiles.h"
+#include "control/MessageTransfer.h"
 #include "control/QuorumRelay.h"
 #include "control/QuorumReplica.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,7 +19,16 @@
 namespace yuccahook::control::testing {
 
 /// Deliberate defects that the simulation's checks must detect.
-enum class Mutation { None, AckBeforeSync, EmptyDiskVotes, NoPreVote, LowerRevisionApplied, ReadWithoutBarrier };
+enum class Mutation {
+    None,
+    AckBeforeSync,
+    EmptyDiskVotes,
+    NoPreVote,
+    LowerRevisionApplied,
+    ReadWithoutBarrier,
+    WholeTransfers, ///< A large message is sent whole and given up when it takes longer than the time limit.
+    TransferTakenForLost ///< The reply to a heartbeat that overtakes a transfer starts the transfer again.
+};
 
 /// Runs real replicas over a faulty network and faulty disks in virtual time, with operators that submit notes and a
 /// subscriber that follows revisions, and collects the violations of what must always hold.
@@ -57,6 +68,9 @@
     /// Drops all messages from one instance to another from now on.
     void dropMessages(std::uint32_t from, std::uint32_t to) { m_droppedLinks.insert({ from, to }); }
     void healNetwork() { m_droppedLinks.clear(); }
+
+    /// From now on each link carries that many bytes a millisecond, and messages on it wait for one another.
+    void limitLinks(std::uint64_t bytesPerMilli) { m_bytesPerMilli = bytesPerMilli; }
     void crash(std::uint32_t id);
     void loseDisk(std::uint32_t id);
     void start(std::uint32_t id);
@@ -95,7 +109,7 @@
     /// The evacuated domains at an instance.
     const std::vector<std::string>& evacuated(std::uint32_t id) const;
 
-    /// Proposes a note of that many bytes, which is refused when it is applied.
+    /// Proposes a note of that many random bytes, which is refused when it is applied.
     bool proposeBytes(std::size_t bytes);
 
     /// Bytes of log entries and snapshots sent to an instance so far, and in the largest message; dropped ones
@@ -120,6 +134,7 @@
         std::uint64_t atMillis;
         std::uint64_t order;
         QuorumMessage message;
+        std::function<void()> event {}; // takes the place of the message
         bool operator>(const Delivery& other) const
         {
             return std::tie(atMillis, order) > std::tie(other.atMillis, other.order);
@@ -136,6 +151,20 @@
     std::uint64_t below(std::uint64_t bound) { return m_random() % bound; }
     void step();
     void enqueue(const QuorumMessage& message);
+    using LinkEnds = std::pair<std::uint32_t, std::uint32_t>; // sender and receiver
+    struct Link {
+        std::uint64_t busyUntilMillis = 0;
+        std::uint64_t closedUntilMillis = 0; // until its connection is replaced
+        std::uint64_t connection = 0;
+        OutgoingTransfers transfers;
+    };
+    void deliver(const QuorumMessage& message);
+    void enqueueOnLimitedLink(const QuorumMessage& message);
+    std::uint64_t occupyLink(Link& link, std::size_t bytes) const;
+    void schedule(std::uint64_t atMillis, std::function<void()> event);
+    void sendParts(LinkEnds ends);
+    void receivePart(LinkEnds ends, const MessagePart& part, std::uint64_t connection);
+    bool isTransferring(std::uint32_t from, std::uint32_t to) const;
     void causeFault();
     void subscribe();
     void checkApplied(std::uint32_t id, std::uint64_t index, const QuorumEntry& entry, ClusterState& state);
@@ -169,6 +198,9 @@
     std::priority_queue<Delivery, std::vector<Delivery>, std::greater<>> m_network;
     std::set<std::pair<std::uint32_t, std::uint32_t>> m_droppedLinks;
     bool m_faultyNetwork = false;
+    std::uint64_t m_bytesPerMilli = 0; // 0: no limit
+    std::map<LinkEnds, Link> m_links;
+    std::map<std::uint32_t, IncomingTransfers> m_incoming; // by receiver
 
     std::vector<QuorumEntry> m_committed; // by index - 1
     std::map<std::uint64_t, std::uint32_t> m_leaderOfTerm;
