--- a/src/control/Command.cpp
+++ b/src/control/Command.cpp
@@ -1,5 +1,6 @@
 #include "control/Command.h"
 
+#include "control/Compression.h"
 #include "control/MembershipCodec.h"
 #include "journal.capnp.h"
 
@@ -12,6 +13,8 @@
 
 namespace {
 
+constexpr std::uint64_t traversalLimitWords = 1ULL << 27; // 1 GiB, above any command
+
 std::string flatten(capnp::MessageBuilder& message)
 {
     const auto words = capnp::messageToFlatArray(message);
@@ -107,7 +110,7 @@
     capnp::MallocMessageBuilder message;
     const auto builder = message.initRoot<schema::Command>();
     std::visit([&builder](const auto& value) { write(builder, value); }, command);
-    return flatten(message);
+    return compress(flatten(message));
 }
 
 // The highest version of the route table is in force, whatever the order. A barrier must not share an entry: that of a
@@ -117,15 +120,16 @@
     return { encodeCommand(command), std::holds_alternative<PublishRoutes>(command) };
 }
 
-std::optional<Command> decode(const std::string& bytes)
+std::optional<Command> decode(const std::string& stored)
 {
-    if (bytes.size() % sizeof(capnp::word) != 0)
+    const auto bytes = decompress(stored);
+    if (!bytes || bytes->size() % sizeof(capnp::word) != 0)
         return std::nullopt;
     std::optional<Command> command;
-    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
-    std::memcpy(words.asBytes().begin(), bytes.data(), bytes.size());
+    auto words = kj::heapArray<capnp::word>(bytes->size() / sizeof(capnp::word));
+    std::memcpy(words.asBytes().begin(), bytes->data(), bytes->size());
     const auto failure = kj::runCatchingExceptions([&] {
-        capnp::FlatArrayMessageReader message(words);
+        capnp::FlatArrayMessageReader message(words, { traversalLimitWords, 64 });
         const auto reader = message.getRoot<schema::Command>();
         if (reader.isNote())
             command = SubmitNote { reader.getNote() };
--- a/src/control/Command.h
+++ b/src/control/Command.h
@@ -51,6 +51,6 @@
 std::string encodeCommand(const Command& command);
 
 /// Returns nothing when the bytes are not a command that this release can read.
-std::optional<Command> decode(const std::string& bytes);
+std::optional<Command> decode(const std::string& stored);
 
 } // namespace yuccahook::control
--- a/src/control/SnapshotCodec.cpp
+++ b/src/control/SnapshotCodec.cpp
@@ -1,5 +1,6 @@
 #include "control/SnapshotCodec.h"
 
+#include "control/Compression.h"
 #include "control/MembershipCodec.h"
 #include "journal.capnp.h"
 
@@ -50,15 +51,16 @@
     builder.setLastId(image.lastId);
     const auto words = capnp::messageToFlatArray(arena);
     const auto bytes = words.asBytes();
-    return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+    return compress({ reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
 }
 
-std::optional<ClusterImage> decodeImage(const std::string& bytes)
+std::optional<ClusterImage> decodeImage(const std::string& stored)
 {
-    if (bytes.size() % sizeof(capnp::word) != 0)
+    const auto bytes = decompress(stored);
+    if (!bytes || bytes->size() % sizeof(capnp::word) != 0)
         return std::nullopt;
-    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
-    std::memcpy(words.asBytes().begin(), bytes.data(), bytes.size());
+    auto words = kj::heapArray<capnp::word>(bytes->size() / sizeof(capnp::word));
+    std::memcpy(words.asBytes().begin(), bytes->data(), bytes->size());
     std::optional<ClusterImage> image;
     const auto failure = kj::runCatchingExceptions([&] {
         capnp::FlatArrayMessageReader message(words, { traversalLimitWords, 64 });
