Names with a zero byte are stored and passed on whole

What other operators saw: one odd entry among the targets ended the machines that read the list, or they stopped following it.

Cause of what was found: texts went to and from Cap'n Proto as C strings, so that a name ended at a zero byte, which JSON allows. A server that announced the service "listings\0x" joined listings and would have got its requests; a table with such a service had a route to a service that no instance knew.

Change: texts are written and read with their length; the list of members, as operators see it, may have names that are not UTF-8.

--- a/src/control/Command.cpp
+++ b/src/control/Command.cpp
@@ -53,14 +53,14 @@
     auto table = builder.initRoutes();
     table.setVersion(publish.table.version);
     table.setFlowIdleMillis(publish.table.flowIdleMillis);
-    table.setDocument(publish.table.document);
+    table.setDocument(textOf(publish.table.document));
     writeRoutes(table.initRoutes(publish.table.routes.size()), publish.table.routes);
     auto services = table.initServices(publish.table.services.size());
     auto specs = table.initServiceSpecs(publish.table.services.size());
     for (std::size_t index = 0; index < publish.table.services.size(); ++index) {
         const auto& service = publish.table.services[index];
-        services.set(index, service.name);
-        specs[index].setName(service.name);
+        services.set(index, textOf(service.name));
+        specs[index].setName(textOf(service.name));
         specs[index].setColdMillis(service.cold.coldMillis);
         specs[index].setColdPerSecond(service.cold.perSecond);
     }
@@ -81,11 +81,11 @@
     PublishRoutes publish;
     publish.table.version = reader.getVersion();
     publish.table.flowIdleMillis = reader.getFlowIdleMillis();
-    publish.table.document = reader.getDocument();
+    publish.table.document = stringOf(reader.getDocument());
     publish.table.routes = readRoutes(reader.getRoutes());
     publish.table.overload = static_cast<flow::OverloadPolicy>(reader.getOverload());
     for (const auto name : reader.getServices())
-        publish.table.services.push_back({ name.cStr() });
+        publish.table.services.push_back({ stringOf(name) });
     // Absent in journals of earlier releases.
     const auto specs = reader.getServiceSpecs();
     for (std::size_t index = 0; index < std::min<std::size_t>(specs.size(), publish.table.services.size()); ++index)
--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -183,7 +183,7 @@
         auto names = request.initServices(m_services->size());
         unsigned index = 0;
         for (const auto& name : *m_services)
-            names.set(index++, name);
+            names.set(index++, textOf(name));
     }
     kj::Promise<Changes> reply = request.send();
     return m_connection->stream.whileReceiving(kj::mv(reply), changesTimeout)
@@ -245,7 +245,7 @@
     auto builder = request.initAnnouncement();
     builder.setAgent(m_announcement->agent);
     builder.setIncarnation(m_announcement->incarnation);
-    builder.setService(m_announcement->service);
+    builder.setService(textOf(m_announcement->service));
     net::writeEndpoint(builder.initTrunk(), m_announcement->trunk);
     builder.setDomain(m_announcement->domain);
     builder.setWeight(m_announcement->weight);
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -156,7 +156,7 @@
         if (!m_node.m_log->isActiveLeader())
             return AnnounceStatus::NotLeader;
         const auto& membership = m_node.m_state->membership();
-        const auto* service = membership.serviceNamed(announcement.getService().cStr());
+        const auto* service = membership.serviceNamed(stringOf(announcement.getService()));
         if (!service)
             return AnnounceStatus::UnknownService;
         const std::string agent = announcement.getAgent();
@@ -205,7 +205,7 @@
             return delta;
         std::set<std::string> names;
         for (const auto name : params.getServices())
-            names.insert(name.cStr());
+            names.insert(stringOf(name));
         return filterServices(std::move(delta), m_node.m_state->membership(), names);
     }
 
@@ -597,7 +597,8 @@
                 { "service", service ? service->name : "" }, { "trunk", member.trunk.text() },
                 { "domain", member.domain }, { "state", kernel::nameOf(member.state) } });
         }
-        response.body = nlohmann::json { { "members", list } }.dump();
+        response.body
+            = nlohmann::json { { "members", list } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
         done();
     });
 }
--- a/src/control/MembershipCodec.cpp
+++ b/src/control/MembershipCodec.cpp
@@ -7,14 +7,14 @@
 void writeTexts(capnp::List<capnp::Text>::Builder list, const std::vector<std::string>& texts)
 {
     for (std::size_t index = 0; index < texts.size(); ++index)
-        list.set(index, texts[index]);
+        list.set(index, textOf(texts[index]));
 }
 
 std::vector<std::string> readTexts(capnp::List<capnp::Text>::Reader list)
 {
     std::vector<std::string> texts;
     for (const auto text : list)
-        texts.emplace_back(text.cStr());
+        texts.push_back(stringOf(text));
     return texts;
 }
 
@@ -23,14 +23,14 @@
 void writeService(schema::ServiceSpec::Builder builder, const flow::ServiceSpec& service)
 {
     builder.setId(service.id);
-    builder.setName(service.name);
+    builder.setName(textOf(service.name));
     builder.setProtocol(static_cast<std::uint8_t>(service.protocol));
     net::writeEndpoint(builder.initAddress(), service.address);
     builder.setBuckets(service.buckets);
     builder.setIdleSeconds(service.idleSeconds);
     builder.setWithdrawSeconds(service.withdrawSeconds);
     builder.setWithdrawn(service.withdrawn);
-    builder.setRequests(service.requestPolicy);
+    builder.setRequests(textOf(service.requestPolicy));
     builder.setColdMillis(service.cold.coldMillis);
     builder.setColdPerSecond(service.cold.perSecond);
 }
@@ -39,14 +39,14 @@
 {
     flow::ServiceSpec service;
     service.id = reader.getId();
-    service.name = reader.getName();
+    service.name = stringOf(reader.getName());
     service.protocol = static_cast<flow::Protocol>(reader.getProtocol());
     service.address = net::readEndpoint(reader.getAddress());
     service.buckets = reader.getBuckets();
     service.idleSeconds = reader.getIdleSeconds();
     service.withdrawSeconds = reader.getWithdrawSeconds();
     service.withdrawn = reader.getWithdrawn();
-    service.requestPolicy = reader.getRequests();
+    service.requestPolicy = stringOf(reader.getRequests());
     service.cold = { reader.getColdMillis(), reader.getColdPerSecond() };
     return service;
 }
@@ -54,11 +54,11 @@
 void writeMember(schema::Member::Builder builder, const flow::Member& member)
 {
     builder.setId(member.id);
-    builder.setAgent(member.agent);
+    builder.setAgent(textOf(member.agent));
     builder.setIncarnation(member.incarnation);
     builder.setService(member.service);
     net::writeEndpoint(builder.initTrunk(), member.trunk);
-    builder.setDomain(member.domain);
+    builder.setDomain(textOf(member.domain));
     builder.setWeight(member.weight);
     builder.setSlots(member.slots);
     builder.setConnections(member.connections);
@@ -69,11 +69,11 @@
 {
     flow::Member member;
     member.id = reader.getId();
-    member.agent = reader.getAgent();
+    member.agent = stringOf(reader.getAgent());
     member.incarnation = reader.getIncarnation();
     member.service = reader.getService();
     member.trunk = net::readEndpoint(reader.getTrunk());
-    member.domain = reader.getDomain();
+    member.domain = stringOf(reader.getDomain());
     member.weight = reader.getWeight();
     member.slots = reader.getSlots();
     member.connections = reader.getConnections();
@@ -87,10 +87,10 @@
         const auto& route = routes[index];
         auto builder = list[index];
         net::writeEndpoint(builder.initAddress(), route.address);
-        builder.setName(route.name);
+        builder.setName(textOf(route.name));
         auto targets = builder.initTargets(route.targets.size());
         for (std::size_t target = 0; target < route.targets.size(); ++target) {
-            targets[target].setService(route.targets[target].service);
+            targets[target].setService(textOf(route.targets[target].service));
             targets[target].setWeight(route.targets[target].weight);
         }
         builder.setLatencyGoalMillis(route.latencyGoalMillis);
@@ -107,9 +107,9 @@
     for (const auto reader : list) {
         auto& route = routes.emplace_back();
         route.address = net::readEndpoint(reader.getAddress());
-        route.name = reader.getName();
+        route.name = stringOf(reader.getName());
         for (const auto target : reader.getTargets())
-            route.targets.push_back({ target.getService(), target.getWeight() });
+            route.targets.push_back({ stringOf(target.getService()), target.getWeight() });
         route.latencyGoalMillis = reader.getLatencyGoalMillis();
         route.timeoutMillis = reader.getTimeoutMillis();
         route.priority = reader.getPriority();
--- a/src/control/MembershipCodec.h
+++ b/src/control/MembershipCodec.h
@@ -4,8 +4,14 @@
 #include "control.capnp.h"
 #include "flow/Membership.h"
 
+#include <string>
+
 namespace yuccahook::control {
 
+/// The whole text, in both directions; names that others choose may have zero bytes, at which a C string would end.
+inline capnp::Text::Reader textOf(const std::string& text) { return { text.data(), text.size() }; }
+inline std::string stringOf(capnp::Text::Reader text) { return { text.begin(), text.size() }; }
+
 void writeService(schema::ServiceSpec::Builder builder, const flow::ServiceSpec& service);
 flow::ServiceSpec readServiceSpec(schema::ServiceSpec::Reader reader);
 
--- a/src/control/SnapshotCodec.cpp
+++ b/src/control/SnapshotCodec.cpp
@@ -20,7 +20,7 @@
     const auto delta = readDelta(reader.getView());
     image.membership = { delta.cluster, delta.revision, delta.services, delta.members, delta.routeVersion,
         delta.flowIdleMillis, delta.routes, delta.evacuated, delta.overload };
-    image.routeDocument = reader.getRouteDocument();
+    image.routeDocument = stringOf(reader.getRouteDocument());
     for (const auto note : reader.getNotes())
         image.notes[note.getNumber()] = { note.getContent(), note.getAuthor(), note.getRevision() };
     image.lastId = reader.getLastId();
@@ -38,7 +38,7 @@
         { membership.cluster, membership.revision, true, membership.services, {}, membership.members, {},
             membership.routeVersion, membership.flowIdleMillis, membership.routes, {}, {}, membership.evacuated,
             membership.overload });
-    builder.setRouteDocument(image.routeDocument);
+    builder.setRouteDocument(textOf(image.routeDocument));
     auto notes = builder.initNotes(image.notes.size());
     std::size_t index = 0;
     for (const auto& [number, record] : image.notes) {
--- a/tests/platform/BackendHeartbeatTest.cpp
+++ b/tests/platform/BackendHeartbeatTest.cpp
@@ -67,6 +67,34 @@
         CHECK_FALSE(isValid(heartbeat));
     }
 
+    // Guards against processes that end, or stop following the list, for one odd entry among the backend servers'.
+    SUBCASE("an entry that nests deeply, has a number too large or a port out of range is refused")
+    {
+        settings::Faults faults;
+        for (const int depth : { 33, 1000, 1'000'000 }) {
+            const std::string opened(depth, '[');
+            const std::string closed(depth, ']');
+            CHECK_FALSE(platform::parseHeartbeat("i-1", opened + closed, faults));
+            CHECK_FALSE(platform::parseHeartbeat("i-1", R"({"service":)" + opened + closed + "}", faults));
+            CHECK_FALSE(platform::parseHeartbeat("i-1", R"({"service":)" + opened, faults));
+        }
+        const std::string rest
+            = R"("service":"one","zone":"a","version":"v1","state":"ready","coldRemainingMs":0,"sequence":4})";
+        for (const char* number : { "1e999", "-1e999", "99999999999999999999", "18446744073709551616", "-1", "1.5" }) {
+            CAPTURE(number);
+            CHECK_FALSE(platform::parseHeartbeat(
+                "i-1", R"({"address":"10.0.0.1:80","slots":)" + std::string(number) + "," + rest, faults));
+        }
+        for (const char* address : { "10.0.0.1:99999", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:0",
+                 "10.0.0.1:", "10.0.0.1:80x", ":80", "10.0.0.999:80", "" }) {
+            CAPTURE(address);
+            CHECK_FALSE(platform::parseHeartbeat(
+                "i-1", R"({"address":")" + std::string(address) + R"(","slots":3,)" + rest, faults));
+        }
+        settings::Faults none;
+        CHECK(platform::parseHeartbeat("i-1", R"({"address":"10.0.0.1:80","slots":3,)" + rest, none));
+    }
+
     SUBCASE("a departure may contain the start time")
     {
         CHECK(platform::parseDepartureStart(R"({"born":7})") == 7);
