Subscribers get compressed views, encoded once for all that ask for the same

Cause: a view went to each subscriber at its full size and was encoded for each: 230,896 bytes for 1,400 new routes, 0.8 s of a link of 2.2 Mbit/s that also carries packets; 28 balancers that restart at a site of 9,800 routes ask one to eight control instances for 1.5 MB each.

Change: a subscriber asks for the Zstandard frame of the view. Earlier releases on either side get and send views as before.

--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -42,10 +42,10 @@
   # control::AnnounceStatus. A follower forwards the call to the leader; a forwarded call is not forwarded again.
   # `incarnation` is the agent's latest incarnation in the membership.
 
-  changes @1 (subscriber :Text, after :UInt64, services :List(Text), allServices :Bool) -> (status :UInt8, view :View);
+  changes @1 (subscriber :Text, after :UInt64, services :List(Text), allServices :Bool, compressed :Bool) -> (status :UInt8, view :View, compressedView :Data);
   # Long poll: replies once the state is newer than revision `after`, or after a timeout; at once by an instance that
   # has lost contact with the quorum. `after` also reports the revision in force at the subscriber. `status` is
-  # control::ChangesStatus.
+  # control::ChangesStatus. A subscriber that asks for it gets a newer state as the Zstandard frame of a View.
 
   deliver @2 (message :Data) -> ();
   # Delivers an encoded QuorumMessage from another control instance.
--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -1,6 +1,7 @@
 #include "control/ControlClient.h"
 
 #include "control/MembershipCodec.h"
+#include "control/ViewCache.h"
 #include "net/MeteredStream.h"
 #include "observe/Log.h"
 
@@ -31,6 +32,17 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+// An instance of an earlier release sends the view itself.
+flow::MembershipDelta readNewerView(schema::Control::ChangesResults::Reader response)
+{
+    if (!response.hasCompressedView())
+        return readDelta(response.getView());
+    const auto bytes = response.getCompressedView();
+    auto delta = decodeView({ reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
+    KJ_REQUIRE(delta.has_value(), "the view is damaged");
+    return std::move(*delta);
+}
+
 } // namespace
 
 /// One RPC connection to a control instance.
@@ -179,6 +191,7 @@
     request.setSubscriber(m_subscriber);
     request.setAfter(requestedFull ? 0 : membership()->revision);
     request.setAllServices(!m_services.has_value());
+    request.setCompressed(true);
     if (m_services) {
         auto names = request.initServices(m_services->size());
         unsigned index = 0;
@@ -197,7 +210,7 @@
             if (!std::exchange(m_connected, true))
                 observe::log(observe::Level::Info, "control-contact", { { "address", m_connectedTo.text() } });
             if (status == ChangesStatus::Newer)
-                handleDelta(readDelta(response.getView()), requestedFull);
+                handleDelta(readNewerView(response), requestedFull);
         });
 }
 
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -197,16 +197,36 @@
         m_node.proposeMemberUpdate();
     }
 
-    flow::MembershipDelta deltaFor(ChangesParams::Reader params, std::uint64_t after) const
+    static ViewCache::Request viewRequest(ChangesParams::Reader params, std::uint64_t after)
     {
-        auto delta = m_node.m_state->changesAfter(after);
-        delta.controlAddresses = m_node.m_log->voters();
+        ViewCache::Request request { after, std::nullopt };
         if (params.getAllServices())
-            return delta;
-        std::set<std::string> names;
+            return request;
+        request.services.emplace();
         for (const auto name : params.getServices())
-            names.insert(stringOf(name));
-        return filterServices(std::move(delta), m_node.m_state->membership(), names);
+            request.services->insert(stringOf(name));
+        return request;
+    }
+
+    flow::MembershipDelta deltaFor(const ViewCache::Request& request) const
+    {
+        auto delta = m_node.m_state->changesAfter(request.after);
+        delta.controlAddresses = m_node.m_log->voters();
+        if (!request.services)
+            return delta;
+        return filterServices(std::move(delta), m_node.m_state->membership(), *request.services);
+    }
+
+    void writeNewerView(ChangesParams::Reader params, ChangesResults::Builder results, std::uint64_t after)
+    {
+        const auto request = viewRequest(params, after);
+        if (!params.getCompressed()) { // an earlier release
+            writeDelta(results.initView(), deltaFor(request));
+            return;
+        }
+        const std::string& view
+            = m_node.m_views.view(m_node.m_state->membership().revision, request, [&] { return deltaFor(request); });
+        results.setCompressedView({ reinterpret_cast<const kj::byte*>(view.data()), view.size() });
     }
 
     void writeReply(ChangesContext& context, std::uint64_t after)
@@ -222,7 +242,7 @@
             writeDelta(results.initView(), voters);
         } else if (m_node.m_state->membership().revision > after) {
             status = ChangesStatus::Newer;
-            writeDelta(results.initView(), deltaFor(context.getParams(), after));
+            writeNewerView(context.getParams(), results, after);
         }
         results.setStatus(static_cast<std::uint8_t>(status));
     }
@@ -360,6 +380,7 @@
 void ControlNode::handleStateChange()
 {
     m_evacuations.update(m_state->membership());
+    m_views.clear();
     wakeSubscribers();
 }
 
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -4,6 +4,7 @@
 #include "control/EvacuationLog.h"
 #include "control/LeaseTable.h"
 #include "control/QuorumLog.h"
+#include "control/ViewCache.h"
 #include "kernel/Service.h"
 #include "net/EventLoopThread.h"
 #include "net/HttpMessage.h"
@@ -114,6 +115,7 @@
     kj::Own<capnp::TwoPartyServer> m_server;
     kj::Own<kj::ConnectionReceiver> m_receiver;
     LeaseTable m_leases;
+    ViewCache m_views;
     std::map<std::string, Subscriber> m_subscribers; // by name
     UpdateMembers m_pendingMembers;
     bool m_proposalInProgress = false;
