--- a/tests/flow/SortedMergeTest.cpp
+++ b/tests/flow/SortedMergeTest.cpp
@@ -137,10 +137,12 @@
             const std::vector<int>& removedNumbers) {
             auto expected = before;
             std::vector<Value> values;
+            values.reserve(before.size());
             for (const auto& [number, content] : before)
                 values.emplace_back(number, content);
             const auto valuesBefore = values;
             std::vector<Value> changed;
+            changed.reserve(changes.size());
             for (const auto& [number, content] : changes) {
                 changed.emplace_back(number, content);
                 expected[number] = content;
