Parts of two transfers are never taken for one

Found by review of the parts: a receiver kept one transfer for each sender, numbered from 0 at each start of the sender and without regard to the connection. After a freeze it may read the parts of a connection that the sender has given up between those of the next one: they ended the live transfer, and with it the connection and its heartbeats; parts of an earlier process with the same number could even complete a later message.

Change: transfers are numbered from a random number on, up to three of a sender are assembled side by side, a part is compared with the announced size, and a stale part ends only its own transfer.

--- a/src/control/MessageTransfer.cpp
+++ b/src/control/MessageTransfer.cpp
@@ -41,25 +41,31 @@
 
 IncomingTransfers::Result IncomingTransfers::add(std::uint32_t sender, const MessagePart& part)
 {
-    const bool isFirst = part.offset == 0;
-    const bool isKnown = m_bySender.contains(sender);
-    if (part.totalBytes > maximumBytes || (isFirst && !isKnown && m_bySender.size() >= maximumSenders))
+    const bool isNewSender = !m_bySender.contains(sender);
+    if (part.totalBytes > maximumBytes || (isNewSender && m_bySender.size() >= maximumSenders))
         return { Status::Refused, {} };
-    if (isFirst)
-        m_bySender[sender] = { part.transfer, {} };
-    const auto found = m_bySender.find(sender);
-    const bool continues = found != m_bySender.end() && found->second.number == part.transfer
-        && found->second.bytes.size() == part.offset && !part.bytes.empty()
-        && part.bytes.size() <= part.totalBytes - part.offset;
+    auto& transfers = m_bySender[sender];
+    const auto isSame = [&part](const Transfer& transfer) { return transfer.number == part.transfer; };
+    if (part.offset == 0) {
+        std::erase_if(transfers, isSame);
+        if (transfers.size() >= maximumTransfers)
+            transfers.pop_front();
+        transfers.push_back({ part.transfer, part.totalBytes, {} });
+    }
+    const auto found = std::find_if(transfers.begin(), transfers.end(), isSame);
+    if (found == transfers.end())
+        return { Status::Refused, {} };
+    const bool continues = found->totalBytes == part.totalBytes && found->bytes.size() == part.offset
+        && !part.bytes.empty() && part.bytes.size() <= part.totalBytes - part.offset;
     if (!continues) {
-        m_bySender.erase(sender);
+        transfers.erase(found);
         return { Status::Refused, {} };
     }
-    found->second.bytes += part.bytes;
-    if (found->second.bytes.size() < part.totalBytes)
+    found->bytes += part.bytes;
+    if (found->bytes.size() < part.totalBytes)
         return { Status::Incomplete, {} };
-    Result result { Status::Complete, std::move(found->second.bytes) };
-    m_bySender.erase(found);
+    Result result { Status::Complete, std::move(found->bytes) };
+    transfers.erase(found);
     return result;
 }
 
--- a/src/control/MessageTransfer.h
+++ b/src/control/MessageTransfer.h
@@ -10,7 +10,7 @@
 
 /// A part of a large message between control instances.
 struct MessagePart {
-    std::uint64_t transfer = 0; ///< Number of the transfer, in the sender's order.
+    std::uint64_t transfer = 0; ///< Number of the transfer, which its sender uses for no other one.
     std::uint64_t offset = 0; ///< In bytes.
     std::uint64_t totalBytes = 0;
     std::string bytes;
@@ -24,6 +24,13 @@
     static constexpr std::size_t maximumPartsInFlight = 8;
     static constexpr std::size_t maximumMessages = 2; ///< Under way and waiting.
 
+    /// Transfers are numbered from `firstTransfer` on, a random number: parts that an earlier process of this instance
+    /// has sent may still be read after those of this one.
+    explicit OutgoingTransfers(std::uint64_t firstTransfer)
+        : m_transfer(firstTransfer)
+    {
+    }
+
     /// Adds an encoded message; false when too many are waiting. The protocol sends again what is still needed.
     bool add(std::string message);
 
@@ -41,7 +48,7 @@
 
 private:
     std::deque<std::string> m_messages; // those whose last part was not sent
-    std::uint64_t m_transfer = 0;
+    std::uint64_t m_transfer;
     std::size_t m_offset = 0; // in the first message
     std::size_t m_inFlight = 0;
 };
@@ -51,6 +58,8 @@
 public:
     static constexpr std::uint64_t maximumBytes = 64 << 20; ///< A larger message is refused.
     static constexpr std::size_t maximumSenders = 64;
+    /// Of one sender. Parts of a connection that the sender has given up are read beside those of its next one.
+    static constexpr std::size_t maximumTransfers = 3;
 
     enum class Status : std::uint8_t { Incomplete, Complete, Refused };
     struct Result {
@@ -58,17 +67,18 @@
         std::string message; ///< When complete.
     };
 
-    /// Takes the next part of a sender. A part that does not continue the transfer is refused, and the transfer with
+    /// Takes the next part of a sender. A part that does not continue its transfer is refused, and that transfer with
     /// it.
     Result add(std::uint32_t sender, const MessagePart& part);
 
 private:
     struct Transfer {
         std::uint64_t number = 0;
+        std::uint64_t totalBytes = 0;
         std::string bytes;
     };
 
-    std::map<std::uint32_t, Transfer> m_bySender;
+    std::map<std::uint32_t, std::deque<Transfer>> m_bySender; // oldest first
 };
 
 } // namespace yuccahook::control
--- a/tests/control/MessageTransferTest.cpp
+++ b/tests/control/MessageTransferTest.cpp
@@ -117,7 +117,7 @@
 TEST_CASE("A large message is sent in parts")
 {
     const std::string message(OutgoingTransfers::partBytes * 10 + 5, 'm');
-    OutgoingTransfers outgoing;
+    OutgoingTransfers outgoing(100);
     IncomingTransfers incoming;
     REQUIRE(outgoing.add(message));
 
@@ -163,6 +163,44 @@
         other.transfer += 1;
         CHECK(incoming.add(7, *first).status == IncomingTransfers::Status::Incomplete);
         CHECK(incoming.add(7, other).status == IncomingTransfers::Status::Refused);
+        auto longer = *second;
+        longer.totalBytes += 1;
+        CHECK(incoming.add(7, longer).status == IncomingTransfers::Status::Refused);
+    }
+    // Guards against a message that is put together from the parts of two, and a live transfer that ends for a stale
+    // one.
+    SUBCASE("parts of a connection that was given up are read between those of the next one")
+    {
+        const auto stale = outgoing.next();
+        const auto staleNext = outgoing.next();
+        outgoing.abort();
+        const std::string another(message.size(), 'a');
+        REQUIRE(outgoing.add(another));
+        std::string assembled;
+        CHECK(incoming.add(7, *stale).status == IncomingTransfers::Status::Incomplete);
+        bool isFirst = true;
+        while (const auto part = outgoing.next()) {
+            const auto result = incoming.add(7, *part);
+            REQUIRE(result.status != IncomingTransfers::Status::Refused);
+            outgoing.confirm();
+            if (std::exchange(isFirst, false)) {
+                incoming.add(7, *staleNext);
+                incoming.add(7, *stale);
+            }
+            assembled = result.message;
+        }
+        CHECK(assembled == another);
+    }
+    SUBCASE("and so are those of an earlier process of the sender")
+    {
+        OutgoingTransfers earlier(7);
+        REQUIRE(earlier.add(std::string(message.size(), 'e')));
+        const auto stale = earlier.next();
+        const auto staleNext = earlier.next();
+        CHECK(incoming.add(7, *stale).status == IncomingTransfers::Status::Incomplete);
+        CHECK(incoming.add(7, *outgoing.next()).status == IncomingTransfers::Status::Incomplete);
+        CHECK(incoming.add(7, *staleNext).status == IncomingTransfers::Status::Incomplete);
+        CHECK(incoming.add(7, *outgoing.next()).status == IncomingTransfers::Status::Incomplete);
     }
     SUBCASE("sizes that a peer claims are bounded")
     {
--- a/tests/control/QuorumSimulation.h
+++ b/tests/control/QuorumSimulation.h
@@ -156,7 +156,7 @@
         std::uint64_t busyUntilMillis = 0;
         std::uint64_t closedUntilMillis = 0; // until its connection is replaced
         std::uint64_t connection = 0;
-        OutgoingTransfers transfers;
+        OutgoingTransfers transfers { 1 };
     };
     void deliver(const QuorumMessage& message);
     void enqueueOnLimitedLink(const QuorumMessage& message);
