--- a/src/control/Compression.cpp
+++ b/src/control/Compression.cpp
@@ -26,7 +26,7 @@
 
 std::string compress(std::string bytes)
 {
-    if (bytes.size() < minimumBytes)
+    if (bytes.size() < minimumBytes || bytes.size() > maximumContentBytes)
         return bytes;
     std::string frame(ZSTD_compressBound(bytes.size()), '\0');
     const std::size_t size = ZSTD_compress(frame.data(), frame.size(), bytes.data(), bytes.size(), level);
