A message that was overtaken does not set back what the leader has committed

Found by review: a large append carries the commit index of the time when it was sent. When it completes after heartbeats with a higher one, an instance counted as up to date although it knew of later commits, until the next heartbeat. The highest index counts now. The cases of the quorum pass.

--- a/src/control/QuorumReplication.cpp
+++ b/src/control/QuorumReplication.cpp
@@ -130,7 +130,7 @@
     }
     becomeFollower(message.term, message.from);
     m_leaderContactMillis = m_nowMillis;
-    m_leaderCommitIndex = message.commit;
+    m_leaderCommitIndex = std::max(m_leaderCommitIndex, message.commit); // messages may overtake one another
     resetElectionTimer();
     if (message.index > lastIndex()
         || (message.index >= m_snapshot.index && termAt(message.index) != message.logTerm)) {
@@ -161,7 +161,7 @@
     }
     becomeFollower(message.term, message.from);
     m_leaderContactMillis = m_nowMillis;
-    m_leaderCommitIndex = message.commit;
+    m_leaderCommitIndex = std::max(m_leaderCommitIndex, message.commit); // messages may overtake one another
     resetElectionTimer();
     // Entries after the snapshot may have been acknowledged, so they are kept when the log agrees with the snapshot.
     const bool agrees
