Tables are acknowledged from the state only by instances that take part, and are not kept while they wait

(2) The parsed table, its copy in the command and the encoded command were all kept for the 0.9 s of the wait, about 10 MB at 10,000 routes by estimate; the table is moved into the command, and only the encoded command is kept.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -429,13 +429,13 @@
     });
 }
 
-// The command is encoded on the caller's thread, because a large one would hold up the control thread's heartbeats.
+// Commands are encoded on the caller's thread, because a large one would hold up the control thread's heartbeats.
 ProposeStatus ControlNode::proposeAndWait(
-    const Command& command, const std::function<void()>& whenCommitted, const std::function<bool()>& isInForce)
+    EncodedCommand command, const std::function<void()>& whenCommitted, const std::function<bool()>& isInForce)
 {
     auto result = std::make_shared<std::promise<ProposeStatus>>();
     auto finished = result->get_future();
-    const auto shared = std::make_shared<const EncodedCommand>(encode(command));
+    const auto shared = std::make_shared<const EncodedCommand>(std::move(command));
     const auto began = std::chrono::steady_clock::now();
     const bool queued = m_thread.post([this, shared, result, whenCommitted, isInForce](net::EventLoop& loop) {
         const auto deadline
@@ -457,25 +457,28 @@
     return finished.get();
 }
 
-ProposeStatus ControlNode::publishRouteTable(const flow::RouteTable& table)
+ProposeStatus ControlNode::publishRouteTable(flow::RouteTable table)
 {
+    const std::uint64_t version = table.version;
+    const std::size_t routes = table.routes.size();
+    const std::size_t bytes = table.document.size();
     const auto began = std::chrono::steady_clock::now();
     // A state that was applied is committed, so any instance may acknowledge a table that it has or that is overtaken.
-    const auto isInForce = [this, version = table.version] { return m_state->membership().routeVersion >= version; };
+    const auto isInForce
+        = [this, version] { return m_log->isRunning() && m_state->membership().routeVersion >= version; };
     const auto status = proposeAndWait(
-        PublishRoutes { table }, [] {}, isInForce);
+        encode(PublishRoutes { std::move(table) }), [] {}, isInForce);
     const auto elapsed = std::chrono::steady_clock::now() - began;
     m_counters.counter("route_tables_total", "status", kernel::nameOf(status)) += 1;
     observe::log(status == ProposeStatus::Committed ? observe::Level::Info : observe::Level::Warn, "route-table",
-        { { "version", table.version }, { "routes", table.routes.size() }, { "bytes", table.document.size() },
-            { "status", kernel::nameOf(status) },
+        { { "version", version }, { "routes", routes }, { "bytes", bytes }, { "status", kernel::nameOf(status) },
             { "millis", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count() } });
     return status;
 }
 
 ProposeStatus ControlNode::setEvacuation(const SetEvacuation& order)
 {
-    const auto status = proposeAndWait(order, [] {});
+    const auto status = proposeAndWait(encode(order), [] {});
     m_counters.counter("evacuation_orders_total", "status", kernel::nameOf(status)) += 1;
     observe::log(status == ProposeStatus::Committed ? observe::Level::Info : observe::Level::Warn, "evacuation-order",
         { { "domain", order.domain }, { "active", order.active }, { "status", kernel::nameOf(status) } });
@@ -486,7 +489,7 @@
 {
     // Shared, because the control thread may fill it after this call has timed out.
     const auto reading = std::make_shared<RouteTableReading>();
-    const auto status = proposeAndWait(Barrier {}, [this, reading] {
+    const auto status = proposeAndWait(encode(Barrier {}), [this, reading] {
         reading->version = m_state->membership().routeVersion;
         reading->document = m_state->routeDocument();
     });
@@ -628,7 +631,7 @@
 net::HttpResponse ControlNode::showEvacuations()
 {
     const auto body = std::make_shared<nlohmann::json>();
-    const auto status = proposeAndWait(Barrier {}, [this, body] {
+    const auto status = proposeAndWait(encode(Barrier {}), [this, body] {
         *body = { { "evacuated", m_state->membership().evacuated }, { "revision", m_state->membership().revision } };
     });
     if (status != ProposeStatus::Committed)
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -42,7 +42,7 @@
     /// Publishes a route table and waits until it is durable; from any thread. A table that is not newer than the one
     /// in force changes nothing and is `Committed` too. After 900 ms the result is `NoQuorum`, and the table may still
     /// take effect later.
-    ProposeStatus publishRouteTable(const flow::RouteTable& table);
+    ProposeStatus publishRouteTable(flow::RouteTable table);
 
     /// The route table in force, as its operator sent it, or the reason why it could not be read.
     struct RouteTableReading {
@@ -84,7 +84,7 @@
     void removeExpiredMembers();
     void proposeMemberUpdate();
     ProposeStatus proposeAndWait(
-        const Command& command, const std::function<void()>& whenCommitted,
+        EncodedCommand command, const std::function<void()>& whenCommitted,
         const std::function<bool()>& isInForce = [] { return false; });
     void proposeWithRetry(std::shared_ptr<const EncodedCommand> command, const std::function<bool()>& isInForce,
         kj::TimePoint deadline, std::function<void(ProposeStatus)> done);
