--- a/src/control/QuorumReplica.h
+++ b/src/control/QuorumReplica.h
@@ -48,8 +48,9 @@
         QuorumTimings timings;
         /// A snapshot is made once this many entries were applied since the last one.
         std::size_t compactAfterEntries = 1024;
-        /// A snapshot is made once the journal has grown by this much since the last one; a disk may hold 64 MB.
-        std::uint64_t compactAfterBytes = 4 << 20;
+        /// A snapshot is made once the journal has grown by this much since the last one. Bounds what an instance
+        /// applies at its start before it takes part.
+        std::uint64_t compactAfterBytes = 1 << 20;
         std::uint64_t reopenMillis = 500; ///< Between attempts to open a journal whose files can't be used.
     };
 
