A connection between control instances is given up for silence; reads wake no subscribers

Found by review: (1) eight parts in flight take longer than 0.8 s on a link of 2 Mbit/s, and the limit counted from the moment when a part or a heartbeat behind it was sent, so that such a transfer would have started anew for ever. The limit counts from the last answer on the connection, as a subscriber's does. (2) Each entry of the log, those of reads included, made every subscriber ask again and emptied the cached views; now a new revision or new voters do. (3) An instance that took no parts is asked again on its next connection.

--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -15,7 +15,8 @@
 constexpr auto tickInterval = 20 * kj::MILLISECONDS;
 constexpr auto relayTickInterval = 100 * kj::MILLISECONDS;
 constexpr auto connectTimeout = 500 * kj::MILLISECONDS; // one election timeout
-constexpr auto messageTimeout = 800 * kj::MILLISECONDS; // a connection without a reply for this long is replaced
+// A connection on which something is awaited, and nothing was answered for this long, is replaced.
+constexpr auto messageTimeout = 800 * kj::MILLISECONDS;
 constexpr auto proposalTimeout = 5 * kj::SECONDS;
 constexpr auto leadershipTransferTimeout = 1 * kj::SECONDS;
 constexpr std::size_t largeMessageBytes = 64 << 10;
@@ -72,7 +73,8 @@
     std::optional<QuorumMessage> pendingMessage {}; // newest message, sent once connected
     std::size_t inFlight = 0;
     bool connecting = false;
-    OutgoingTransfers transfers {}; // on the present connection
+    OutgoingTransfers transfers { std::random_device {}() * (std::uint64_t { 1 } << 32) }; // on the present connection
+    kj::TimePoint lastAnswer = kj::origin<kj::TimePoint>();
     bool takesParts = true; // false for an instance of an earlier release
 };
 
@@ -376,6 +378,7 @@
 void QuorumLog::apply(std::uint64_t index, const QuorumEntry& entry)
 {
     const ControlWorkMeter::Span span(m_workMeter, ControlWork::ApplyEntry);
+    const std::uint64_t revisionBefore = m_state.membership().revision;
     if (entry.kind == EntryKind::Bootstrap)
         m_state = ClusterState(entry.cluster);
     if (entry.kind == EntryKind::Command) {
@@ -387,7 +390,9 @@
     if (entry.kind == EntryKind::Settled || entry.kind == EntryKind::Bootstrap)
         observe::log(observe::Level::Info, "voters-changed", { { "index", index }, { "voters", entry.voters } });
     m_appliedIndex = index;
-    m_stateChanged = true;
+    // Subscribers wait for revisions and for the voters; most entries, as those of reads, change neither.
+    m_stateChanged = m_stateChanged || m_state.membership().revision != revisionBefore
+        || entry.kind == EntryKind::Settled || entry.kind == EntryKind::Bootstrap;
     while (!m_pendingProposals.empty() && m_pendingProposals.begin()->first <= index) {
         auto pending = m_pendingProposals.extract(m_pendingProposals.begin());
         const bool isSameProposal = pending.key() == index && pending.mapped().term == entry.term;
@@ -507,10 +512,11 @@
     ++peer.inFlight;
     const auto logIfSlow = [this, to, kind, size = bytes.size(), began = m_loop.timer().now()](
                                bool answered) { logSlowMessage(to, kind, size, began, answered); };
-    auto sent = m_loop.timer().timeoutAfter(messageTimeout, request.send().ignoreResult());
+    auto sent = whileAnswering(peer, request.send().ignoreResult());
     m_tasks.add(sent.then(
-        [&peer, logIfSlow] {
+        [this, &peer, logIfSlow] {
             --peer.inFlight;
+            peer.lastAnswer = m_loop.timer().now();
             logIfSlow(true);
         },
         [this, &peer, logIfSlow, connection = peer.connectionNumber](kj::Exception&&) {
@@ -532,7 +538,21 @@
     }
 }
 
-// The time limit is that of one part, however many a message has.
+// Fails when nothing is answered by the other instance for a time. A reply behind a transfer may thus take as long as
+// the link needs, while a silent instance is noticed soon.
+kj::Promise<void> QuorumLog::whileAnswering(const Peer& peer, kj::Promise<void> reply)
+{
+    return reply.exclusiveJoin(waitForSilence(peer, m_loop.timer().now()));
+}
+
+kj::Promise<void> QuorumLog::waitForSilence(const Peer& peer, kj::TimePoint sent)
+{
+    const auto due = std::max(peer.lastAnswer, sent) + messageTimeout;
+    if (m_loop.timer().now() >= due)
+        return KJ_EXCEPTION(OVERLOADED, "nothing was answered within the time limit");
+    return m_loop.timer().atTime(due).then([this, &peer, sent] { return waitForSilence(peer, sent); });
+}
+
 void QuorumLog::sendPart(Peer& peer, const MessagePart& part)
 {
     auto request = peer.connection->control.deliverPartRequest();
@@ -541,11 +561,12 @@
     request.setOffset(part.offset);
     request.setTotalBytes(part.totalBytes);
     request.setBytes(dataOf(part.bytes));
-    auto sent = m_loop.timer().timeoutAfter(messageTimeout, request.send().ignoreResult());
+    auto sent = whileAnswering(peer, request.send().ignoreResult());
     m_tasks.add(sent.then(
         [this, &peer, connection = peer.connectionNumber] {
             if (peer.connectionNumber != connection || peer.connection.get() == nullptr)
                 return;
+            peer.lastAnswer = m_loop.timer().now();
             peer.transfers.confirm();
             sendParts(peer);
         },
@@ -605,6 +626,7 @@
                             peer.connecting = false;
                             peer.connection = kj::heap<Peer::Connection>(kj::mv(stream));
                             ++peer.connectionNumber;
+                            peer.takesParts = true; // an earlier release may have been replaced
                             if (const auto pending = std::exchange(peer.pendingMessage, std::nullopt))
                                 send(*pending);
                         },
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -107,6 +107,8 @@
     void sendWhole(Peer& peer, MessageKind kind, std::uint32_t to, const std::string& bytes);
     void sendParts(Peer& peer);
     void sendPart(Peer& peer, const MessagePart& part);
+    kj::Promise<void> whileAnswering(const Peer& peer, kj::Promise<void> reply);
+    kj::Promise<void> waitForSilence(const Peer& peer, kj::TimePoint sent);
     kj::Promise<void> waitForOtherLeader(std::function<void()> done, kj::TimePoint deadline);
     void scheduleFlush();
     void notifyApplied();
