--- a/tools/soak_site.py
+++ b/tools/soak_site.py
@@ -200,7 +200,8 @@
                 flow = self.flows[key] = {"seq": random.getrandbits(31), "answers": {}}
             self.send(packet(route, caller, SYN | ACK, flow["seq"], seq + 1))
             return
-        if flow is None:
+        # A flow opens at the backend server whose number the caller acknowledges; the others have it half-open.
+        if flow is None or (length and ack != flow["seq"] + 1):
             self.send(data[:18] + bytes([flags | BOUNCED]) + data[19:])
             return
         if flags & FIN:
