A planned stop hands over the vote, and a lost voter leaves an even number at once

Cause: the successor of a stopped instance is a fourth voter, and the stopped one keeps its place for 10 s. Two losses of four take the majority, where three voters without it would have survived the second loss. The stop transferred the leadership only.

Evidence: the logs of the unchanged program show no change of the voters between the stop and the loss, the same leader until the loss, and none after it. That refutes a missing leader and a refused new disk as causes.

Change: a stopping instance asks the leader for leave (new messages leave and leave-reply) until it is granted, 2 s at most. Its place goes to a learner or is removed from an even number of voters. A leader whose own removal is committed transfers its leadership.

Why this works: 2n voters survive n-1 losses, as 2n-1 do, so a removal from an even number never costs a loss that could be survived, and what is gone no longer counts. Each change still needs majorities of both sets of voters.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -24,7 +24,7 @@
 constexpr auto proposalTimeout = std::chrono::milliseconds(900); // operators try another instance after one second
 constexpr auto proposalRetryDelay = 50 * kj::MILLISECONDS;
 constexpr auto subscriberRetention = std::chrono::seconds(60);
-constexpr auto leadershipTransferTimeout = std::chrono::seconds(2);
+constexpr auto leaveTimeout = std::chrono::seconds(3); // longer than that of QuorumLog
 constexpr auto operatorTimeout = std::chrono::seconds(10);
 
 nlohmann::json toJson(const settings::Faults& faults)
@@ -287,14 +287,14 @@
 
 void ControlNode::stop()
 {
-    auto transferred = std::make_shared<std::promise<void>>();
-    auto finished = transferred->get_future();
-    const bool queued = m_thread.post([this, transferred](net::EventLoop&) {
+    auto left = std::make_shared<std::promise<void>>();
+    auto finished = left->get_future();
+    const bool queued = m_thread.post([this, left](net::EventLoop&) {
         if (m_log)
-            m_log->transferLeadership([transferred] { transferred->set_value(); });
+            m_log->leave([left] { left->set_value(); });
     });
     if (queued)
-        finished.wait_for(leadershipTransferTimeout);
+        finished.wait_for(leaveTimeout);
     m_thread.stop();
 }
 
--- a/src/control/QuorumCore.cpp
+++ b/src/control/QuorumCore.cpp
@@ -21,6 +21,8 @@
     &QuorumCore::onAppendReply,
     &QuorumCore::onSnapshot,
     &QuorumCore::onTakeOver,
+    &QuorumCore::onLeave,
+    &QuorumCore::onLeaveReply,
 };
 
 QuorumCore::QuorumCore(std::uint32_t id, std::vector<std::uint32_t> discoveryPeers, bool mayBootstrap,
@@ -81,6 +83,10 @@
             removeSilentLearners();
             adjustVoters();
             replicateToAll(true);
+            // A leader may have been elected while its removal from the voters was under way.
+            const bool isRemoved = hasStableConfiguration() && !isVoter();
+            if (isLeaving() || isRemoved)
+                transferLeadership();
         }
         return;
     }
@@ -88,6 +94,8 @@
         m_heartbeatDueMillis = m_nowMillis + m_timings.heartbeatIntervalMillis;
         sendHello();
         bootstrapIfAllEmpty();
+    } else if (m_nowMillis >= m_heartbeatDueMillis && isLeaving()) {
+        requestLeave();
     }
     if (m_nowMillis >= m_electionDueMillis)
         startElection(ElectionCause::LeaderSilent);
@@ -122,7 +130,7 @@
     std::uint64_t bestMatch = 0;
     for (const auto& [peer, progress] : m_progress) {
         const bool better = progress.matchIndex > bestMatch || m_transferTarget == 0;
-        if (!better || !hasRecentContact(peer, m_timings.electionTimeoutMillis)
+        if (!better || isLeaving(progress) || !hasRecentContact(peer, m_timings.electionTimeoutMillis)
             || !configuration().contains(peer, progress.disk))
             continue;
         bestMatch = progress.matchIndex;
--- a/src/control/QuorumCore.h
+++ b/src/control/QuorumCore.h
@@ -99,6 +99,13 @@
     /// until one election timeout has passed.
     void transferLeadership();
 
+    /// Prepares a planned stop: transfers the leadership, and asks the leader to replace or remove this voter where
+    /// that lets the quorum survive more losses. `tick` repeats what is not confirmed.
+    void leave();
+
+    /// Whether this instance may stop after `leave`: the leader has granted it, or there is none to ask.
+    bool mayStop() const;
+
     /// Returns and clears the actions that are due.
     QuorumOutput takeOutput();
 
@@ -151,6 +158,7 @@
         std::uint64_t lastContactMillis = 0; ///< When the newest message that the peer has answered was sent.
         bool awaitsReply = false;
         std::uint64_t awaitedIndex = 0; ///< Last index of the unanswered message.
+        std::uint64_t leavingUntilMillis = 0; ///< Until then the peer is taken to be about to stop.
     };
 
     using Handler = void (QuorumCore::*)(const QuorumMessage&);
@@ -166,6 +174,8 @@
     void onAppendReply(const QuorumMessage& message);
     void onSnapshot(const QuorumMessage& message);
     void onTakeOver(const QuorumMessage& message);
+    void onLeave(const QuorumMessage& message);
+    void onLeaveReply(const QuorumMessage& message);
 
     bool isLogEmpty() const { return lastIndex() == 0; }
     std::uint64_t termAt(std::uint64_t index) const;
@@ -182,6 +192,12 @@
     void trackLearner(const QuorumMessage& message);
     void removeSilentLearners();
     void adjustVoters();
+    std::optional<std::uint32_t> departingVoter() const;
+    bool isSilent(std::uint32_t voter) const;
+    bool isLeaving() const { return m_leavingSinceMillis.has_value(); }
+    bool isLeaving(const Progress& progress) const { return m_nowMillis < progress.leavingUntilMillis; }
+    bool mayLeave(std::uint32_t peer) const;
+    void requestLeave();
     void proposeVoters(VoterMap voters);
     bool hasRecentContact(std::uint32_t peer, std::uint64_t limitMillis) const;
 
@@ -231,7 +247,8 @@
     QuorumRole m_role = QuorumRole::Follower;
     std::uint32_t m_leader = 0;
     std::uint64_t m_leaderCommitIndex = 0;
-    std::uint64_t m_leaderContactMillis = 0;
+    std::uint32_t m_contactLeader = 0; // the sender of the last message of a leader
+    std::uint64_t m_leaderContactMillis = 0; // when that message arrived
     std::uint64_t m_electionDueMillis = 0;
     ElectionStart m_lastElection;
     std::uint64_t m_heartbeatDueMillis = 0;
@@ -242,6 +259,8 @@
     std::map<std::uint32_t, Progress> m_progress;
     std::uint32_t m_transferTarget = 0;
     std::uint64_t m_transferDeadlineMillis = 0;
+    std::optional<std::uint64_t> m_leavingSinceMillis; // once this instance is about to stop
+    bool m_mayLeave = false; // granted by the leader
 
     QuorumOutput m_output;
     std::optional<std::uint64_t> m_firstChangedIndex;
--- a/src/control/QuorumLog.cpp
+++ b/src/control/QuorumLog.cpp
@@ -18,7 +18,7 @@
 // A connection on which something is awaited, and nothing was answered for this long, is replaced.
 constexpr auto messageTimeout = 800 * kj::MILLISECONDS;
 constexpr auto proposalTimeout = 5 * kj::SECONDS;
-constexpr auto leadershipTransferTimeout = 1 * kj::SECONDS;
+constexpr auto leaveTimeout = 2 * kj::SECONDS;
 constexpr std::size_t largeMessageBytes = 64 << 10;
 constexpr auto slowReply = 200 * kj::MILLISECONDS; // two heartbeat intervals
 constexpr std::size_t maximumMessagesInFlight = 128;
@@ -681,24 +681,28 @@
     m_counters.counter("quorum_votes") = m_replica->core()->isVoter() ? 1 : 0;
 }
 
-void QuorumLog::transferLeadership(std::function<void()> done)
+void QuorumLog::leave(std::function<void()> done)
 {
     if (!isRunning()) {
         done();
         return;
     }
-    m_replica->transferLeadership();
-    m_tasks.add(waitForOtherLeader(std::move(done), m_loop.timer().now() + leadershipTransferTimeout));
+    m_replica->leave();
+    m_tasks.add(waitUntilMayStop(std::move(done), m_loop.timer().now()));
 }
 
-kj::Promise<void> QuorumLog::waitForOtherLeader(std::function<void()> done, kj::TimePoint deadline)
+kj::Promise<void> QuorumLog::waitUntilMayStop(std::function<void()> done, kj::TimePoint started)
 {
-    if (!isRunning() || m_replica->core()->role() != QuorumRole::Leader || m_loop.timer().now() >= deadline) {
+    const auto waited = m_loop.timer().now() - started;
+    if (!isRunning() || m_replica->mayStop() || waited >= leaveTimeout) {
+        observe::log(observe::Level::Info, "quorum-left",
+            { { "granted", isRunning() && m_replica->mayStop() },
+                { "votes", isRunning() && m_replica->core()->isVoter() }, { "millis", waited / kj::MILLISECONDS } });
         done();
         return kj::READY_NOW;
     }
-    return m_loop.timer().afterDelay(tickInterval).then([this, done = std::move(done), deadline]() mutable {
-        return waitForOtherLeader(std::move(done), deadline);
+    return m_loop.timer().afterDelay(tickInterval).then([this, done = std::move(done), started]() mutable {
+        return waitUntilMayStop(std::move(done), started);
     });
 }
 
--- a/src/control/QuorumLog.h
+++ b/src/control/QuorumLog.h
@@ -67,8 +67,9 @@
     /// Adds instances to contact in search of the quorum, by RPC address.
     void addDiscoveryPeers(const std::vector<net::Address>& addresses);
 
-    /// Transfers the leadership. `done` is called once this instance is not the leader, at the latest after one second.
-    void transferLeadership(std::function<void()> done);
+    /// Prepares a planned stop of this instance, as QuorumCore does. `done` is called once it may stop, at the latest
+    /// after two seconds.
+    void leave(std::function<void()> done);
 
 private:
     struct Peer;
@@ -109,7 +110,7 @@
     void sendPart(Peer& peer, const MessagePart& part);
     kj::Promise<void> whileAnswering(const Peer& peer, kj::Promise<void> reply);
     kj::Promise<void> waitForSilence(const Peer& peer, kj::TimePoint sent);
-    kj::Promise<void> waitForOtherLeader(std::function<void()> done, kj::TimePoint deadline);
+    kj::Promise<void> waitUntilMayStop(std::function<void()> done, kj::TimePoint started);
     void scheduleFlush();
     void notifyApplied();
     void expireProposals();
--- a/src/control/QuorumMessage.h
+++ b/src/control/QuorumMessage.h
@@ -74,7 +74,9 @@
     Append,
     AppendReply,
     Snapshot,
-    TakeOver ///< Sent by a leader that transfers its leadership; the receiver starts an election at once.
+    TakeOver, ///< Sent by a leader that transfers its leadership; the receiver starts an election at once.
+    Leave, ///< Sent to the leader by an instance that is about to stop; repeated until the reply grants it.
+    LeaveReply
 };
 
 /// A message between control instances.
@@ -129,6 +131,6 @@
 };
 
 template <> struct yuccahook::kernel::EnumNames<yuccahook::control::MessageKind> {
-    static constexpr std::array<std::string_view, 10> names { "hello", "hello-reply", "pre-vote", "pre-vote-reply",
-        "vote", "vote-reply", "append", "append-reply", "snapshot", "take-over" };
+    static constexpr std::array<std::string_view, 12> names { "hello", "hello-reply", "pre-vote", "pre-vote-reply",
+        "vote", "vote-reply", "append", "append-reply", "snapshot", "take-over", "leave", "leave-reply" };
 };
--- a/src/control/QuorumReplica.cpp
+++ b/src/control/QuorumReplica.cpp
@@ -89,6 +89,14 @@
     flush();
 }
 
+void QuorumReplica::leave()
+{
+    if (!isRunning())
+        return;
+    m_core->leave();
+    flush();
+}
+
 void QuorumReplica::flush()
 {
     if (!isRunning())
--- a/src/control/QuorumReplica.h
+++ b/src/control/QuorumReplica.h
@@ -76,6 +76,10 @@
     std::optional<std::pair<std::uint64_t, std::uint64_t>> propose(EncodedCommand command);
     void transferLeadership();
 
+    /// See QuorumCore.
+    void leave();
+    bool mayStop() const { return !isRunning() || m_core->mayStop(); }
+
     /// Adds instances to contact in search of the quorum.
     void addDiscoveryPeers(const std::vector<std::uint32_t>& discoveryPeers);
 
--- a/src/control/QuorumReplication.cpp
+++ b/src/control/QuorumReplication.cpp
@@ -129,6 +129,7 @@
         return;
     }
     becomeFollower(message.term, message.from);
+    m_contactLeader = message.from;
     m_leaderContactMillis = m_nowMillis;
     m_leaderCommitIndex = std::max(m_leaderCommitIndex, message.commit); // messages may overtake one another
     resetElectionTimer();
@@ -160,6 +161,7 @@
         return;
     }
     becomeFollower(message.term, message.from);
+    m_contactLeader = message.from;
     m_leaderContactMillis = m_nowMillis;
     m_leaderCommitIndex = std::max(m_leaderCommitIndex, message.commit); // messages may overtake one another
     resetElectionTimer();
--- a/tests/control/QuorumSimulation.cpp
+++ b/tests/control/QuorumSimulation.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint64_t finalNoteNumber = 1'000'000;
 constexpr std::size_t maximumInstances = 7;
 constexpr std::uint64_t latencyMillis = 2;
+constexpr std::uint64_t stopMillis = 2000; // as of control instances
 constexpr std::uint64_t messageTimeoutMillis = 800; // as of connections between control instances
 
 std::string noteText(std::uint64_t number, std::uint64_t content)
@@ -176,6 +177,22 @@
     m_instances.erase(id);
 }
 
+void QuorumSimulation::beginStop(std::uint32_t id)
+{
+    runCatchingCrash(id, [](Instance& instance) { instance.replica->leave(); });
+}
+
+std::uint64_t QuorumSimulation::stop(std::uint32_t id)
+{
+    const std::uint64_t began = m_now;
+    beginStop(id);
+    const auto& instance = *m_instances.at(id);
+    while (m_now - began < stopMillis && instance.isRunning() && !instance.replica->mayStop())
+        step();
+    crash(id);
+    return m_now - began;
+}
+
 void QuorumSimulation::fillDisk(std::uint32_t id, bool full) { m_instances.at(id)->files.fill(full); }
 
 QuorumSimulation::~QuorumSimulation() = default;
@@ -607,7 +624,7 @@
     const std::uint32_t id = anyInstance();
     const std::uint32_t other = anyInstance();
     auto& instance = *m_instances.at(id);
-    switch (below(m_memberChanges ? 14 : 8)) {
+    switch (below(m_memberChanges ? 15 : 8)) {
     case 8:
     case 9:
         if (isFullyReplicated() && m_instances.size() < maximumInstances)
@@ -627,6 +644,10 @@
         for (const auto& [any, each] : m_instances)
             each->files.fill(false);
         break;
+    case 14:
+        if (instance.isRunning())
+            stop(id);
+        break;
     case 0:
         crash(id);
         break;
--- a/tests/control/QuorumSimulation.h
+++ b/tests/control/QuorumSimulation.h
@@ -44,7 +44,8 @@
     /// Advances the time with random crashes, lost disks, partitions, message faults and leadership transfers.
     void runWithFaults(std::uint64_t millis);
 
-    /// From now on the random faults include instances that join, leave permanently, freeze or run out of disk space.
+    /// From now on the random faults include instances that join, leave permanently, stop as planned, freeze or run out
+    /// of disk space.
     void allowMemberChanges() { m_memberChanges = true; }
 
     /// Adds an instance with an empty disk that knows some of the others.
@@ -56,6 +57,13 @@
     /// Removes an instance permanently.
     void leave(std::uint32_t id);
 
+    /// Begins the planned stop of an instance.
+    void beginStop(std::uint32_t id);
+
+    /// Stops an instance as planned: its process ends once it may, at the latest after two seconds. Returns for how
+    /// many milliseconds it waited.
+    std::uint64_t stop(std::uint32_t id);
+
     /// Suspends an instance together with its clock; it loses nothing.
     void freeze(std::uint32_t id, std::uint64_t millis) { m_frozenUntil[id] = m_now + millis; }
 
