Agents ignore reports that name no backend server of theirs

Cause: PacketAgent took any readable report with a later start for the next incarnation and ended the flows of the present one. Only control instances knew which services exist, and refused the announcement after the flows had ended.

Evidence: on the unchanged program the agent logs five resets with the reason backend-replaced and then backend-reported with isNew, while the balancer's membership stays at revision 2. That refutes resets after a change of the membership.

Change: subscribers to one service get the names of all services, and views say whether they are complete. Before the services are known the first incarnation is served and not replaced, and dropped without a reset when its service turns out not to be configured. With control instances of an earlier release every service counts as configured.

Why this works: what decides is now known where the flows are, before they end. Renewals of the present incarnation do not depend on it, so a removed service keeps its flows.

Tests: PacketCasesTest "A report that names no backend server of this agent changes nothing". With the check taken out, seven of its sections fail: the resets go out, and no new flow is accepted.

--- a/schema/control.capnp
+++ b/schema/control.capnp
@@ -34,6 +34,7 @@
   controls @11 :List(Common.Endpoint); # RPC addresses of the control instances that are voters
   evacuated @12 :List(Text); # all evacuated failure domains, also in a view of changes
   overload @13 :UInt8;     # flow::OverloadPolicy
+  allServices @14 :Bool;   # no service is left out; an earlier release sends only the followed ones and does not set it
 }
 
 interface Control {
--- a/src/control/ControlClient.cpp
+++ b/src/control/ControlClient.cpp
@@ -229,7 +229,9 @@
         KJ_FAIL_REQUIRE("membership refused: not newer than the present one, or of another cluster");
     }
     addNewAddresses(delta.controlAddresses);
-    m_needsFullDelta = m_needsFullDelta && !requestedFull;
+    // The services that an earlier release has left out before come with a full delta only.
+    const bool lacksServices = delta.hasAllServices && !after->hasAllServices;
+    m_needsFullDelta = lacksServices || (m_needsFullDelta && !requestedFull);
     publish(std::move(after));
 }
 
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -212,6 +212,7 @@
     {
         auto delta = m_node.m_state->changesAfter(request.after);
         delta.controlAddresses = m_node.m_log->voters();
+        delta.hasAllServices = true;
         if (!request.services)
             return delta;
         return filterServices(std::move(delta), m_node.m_state->membership(), *request.services);
--- a/src/control/MembershipCodec.cpp
+++ b/src/control/MembershipCodec.cpp
@@ -141,6 +141,7 @@
     writeRoutes(builder.initRoutes(delta.routes.size()), delta.routes);
     writeTexts(builder.initEvacuated(delta.evacuated.size()), delta.evacuated);
     builder.setOverload(static_cast<std::uint8_t>(delta.overload));
+    builder.setAllServices(delta.hasAllServices);
     auto removedRoutes = builder.initRemovedRoutes(delta.removedRoutes.size());
     for (std::size_t index = 0; index < delta.removedRoutes.size(); ++index)
         net::writeEndpoint(removedRoutes[index], delta.removedRoutes[index]);
@@ -168,6 +169,7 @@
     delta.routes = readRoutes(reader.getRoutes());
     delta.evacuated = readTexts(reader.getEvacuated());
     delta.overload = static_cast<flow::OverloadPolicy>(reader.getOverload());
+    delta.hasAllServices = reader.getAllServices();
     for (const auto address : reader.getRemovedRoutes())
         delta.removedRoutes.push_back(net::readEndpoint(address));
     for (const auto address : reader.getControls())
--- a/src/control/ServiceFilter.cpp
+++ b/src/control/ServiceFilter.cpp
@@ -8,7 +8,6 @@
     flow::MembershipDelta delta, const flow::Membership& membership, const std::set<std::string>& names)
 {
     const auto wanted = [&names](const flow::ServiceSpec& service) { return names.contains(service.name); };
-    std::erase_if(delta.services, [&wanted](const flow::ServiceSpec& service) { return !wanted(service); });
     std::erase_if(delta.members, [&](const flow::Member& member) {
         const auto* service = membership.service(member.service);
         return !service || !wanted(*service);
--- a/src/flow/Backend.cpp
+++ b/src/flow/Backend.cpp
@@ -27,6 +27,11 @@
     return continues;
 }
 
+bool Backend::isCurrent(const BackendReport& report) const
+{
+    return m_report && isSameIncarnation(*m_report, report) && m_report->service == report.service;
+}
+
 ReportStatus Backend::update(const BackendReport& report, std::uint64_t nowMillis)
 {
     if (m_report && isSameIncarnation(*m_report, report)) {
--- a/src/flow/Backend.h
+++ b/src/flow/Backend.h
@@ -1,14 +1,18 @@
 #pragma once
 
 #include "flow/BackendReport.h"
+#include "kernel/EnumNames.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace yuccahook::flow {
 
-/// What a report did: it renewed the current incarnation, started a new one, or was outdated and ignored.
-enum class ReportStatus { Renewed, NewIncarnation, Stale };
+/// What a report did: it renewed the current incarnation, started a new one, or was ignored, because it is outdated or
+/// names no backend server that this agent may serve.
+enum class ReportStatus { Renewed, NewIncarnation, Stale, UnknownService, OtherAddress };
 
 /// The backend server of an agent as its reports describe it. Tells its incarnations apart.
 class Backend {
@@ -20,6 +24,12 @@
     /// another incarnation is known. A `startedMillis` of 0 matches any incarnation with that id.
     bool markDeparted(const std::string& id, std::uint64_t startedMillis);
 
+    /// Whether a report is of the current incarnation and its service.
+    bool isCurrent(const BackendReport& report) const;
+
+    /// Forgets the first incarnation, which turned out to be none that this agent may serve.
+    void withdraw() { *this = Backend(); }
+
     const std::optional<BackendReport>& report() const { return m_report; }
 
     /// When the last report arrived; 0 before the first and after a departure.
@@ -43,3 +53,8 @@
 };
 
 } // namespace yuccahook::flow
+
+template <> struct yuccahook::kernel::EnumNames<yuccahook::flow::ReportStatus> {
+    static constexpr std::array<std::string_view, 5> names { "renewed", "new-incarnation", "stale", "unknown-service",
+        "other-address" };
+};
--- a/src/flow/Membership.cpp
+++ b/src/flow/Membership.cpp
@@ -29,6 +29,11 @@
     return found != services.end() ? &*found : nullptr;
 }
 
+bool Membership::mayHaveService(std::string_view name) const
+{
+    return !hasAllServices || services.empty() || serviceNamed(name) != nullptr;
+}
+
 const Member* Membership::member(std::uint32_t id) const { return findById(members, id); }
 
 const PacketRoute* Membership::route(const net::Address& address) const
@@ -58,6 +63,7 @@
     after->flowIdleMillis = delta.flowIdleMillis;
     after->evacuated = delta.evacuated;
     after->overload = delta.overload;
+    after->hasAllServices = delta.hasAllServices && (delta.full || before.hasAllServices);
     mergeSorted(after->routes, delta.routes, delta.removedRoutes, std::mem_fn(&PacketRoute::address));
     return after;
 }
--- a/src/flow/Membership.h
+++ b/src/flow/Membership.h
@@ -66,6 +66,7 @@
     std::vector<PacketRoute> routes; ///< Sorted by address.
     std::vector<std::string> evacuated {}; ///< Failure domains that get no new flows; sorted.
     OverloadPolicy overload = OverloadPolicy::Goal;
+    bool hasAllServices = false; ///< Whether `services` are all that are configured, not only those that are followed.
 
     /// The service with that id, or null.
     const ServiceSpec* service(std::uint32_t id) const;
@@ -73,6 +74,10 @@
     /// The service with that name that is not withdrawn, or null.
     const ServiceSpec* serviceNamed(std::string_view name) const;
 
+    /// Whether a service of that name may be configured. False only if all services are known and none has that name;
+    /// before the first service is configured, nothing is known.
+    bool mayHaveService(std::string_view name) const;
+
     /// The member with that id, or null.
     const Member* member(std::uint32_t id) const;
 
@@ -100,6 +105,7 @@
     std::vector<net::Address> controlAddresses; ///< RPC addresses of the control instances, as listed in a reply.
     std::vector<std::string> evacuated {}; ///< All evacuated failure domains, not only the changed ones; sorted.
     OverloadPolicy overload = OverloadPolicy::Goal;
+    bool hasAllServices = false;
 };
 
 /// Returns the membership after a delta; null if the delta is not newer or belongs to another cluster. A membership of
--- a/src/flow/PacketAgent.cpp
+++ b/src/flow/PacketAgent.cpp
@@ -45,14 +45,49 @@
     m_waiting.setOrder(usesLeastCost() ? static_cast<const OpeningOrder&>(m_leastCost) : goalOrder);
     const auto* self = m_peers.findByTrunk(m_trunk);
     m_member = self ? self->member : 0;
+    confirmBackend();
     const bool wasEvacuated = std::exchange(m_isEvacuated, m_membership->isEvacuated(m_domainName));
     releaseStartupPackets(nowMillis);
     if (m_isEvacuated && !wasEvacuated)
         expireWaiting(nowMillis);
 }
 
+// Why a report must not take effect. An incarnation that is served stays so when its service is removed. Before the
+// services are known, the first one is served until they are, and none may take its place.
+std::optional<ReportStatus> PacketAgent::refusalOf(const BackendReport& report) const
+{
+    if (m_limits.backend.isSet() && report.address != m_limits.backend)
+        return ReportStatus::OtherAddress;
+    if (m_backend.isCurrent(report))
+        return std::nullopt;
+    const bool replacesUnchecked = m_membership->revision == 0 && m_backend.incarnation() != 0;
+    const bool mayBeServed = m_membership->mayHaveService(report.service) && !replacesUnchecked;
+    return mayBeServed ? std::nullopt : std::optional(ReportStatus::UnknownService);
+}
+
+// Decides on a backend server that has reported before the services were known. Without it, its flows are as those
+// that are found before a first report.
+void PacketAgent::confirmBackend()
+{
+    const auto& report = m_backend.report();
+    if (!report || m_isBackendConfirmed || m_backendEnded)
+        return;
+    m_isBackendConfirmed = m_membership->serviceNamed(report->service) != nullptr;
+    if (m_isBackendConfirmed || m_membership->mayHaveService(report->service))
+        return;
+    m_departureMillis = 0;
+    const std::uint64_t incarnation = m_backend.incarnation();
+    m_backend.withdraw();
+    m_flows.forEach([&](const PacketFlow&, PacketFlowEntry& entry) {
+        if (entry.incarnation == incarnation)
+            entry.incarnation = m_backend.incarnation();
+    });
+}
+
 ReportStatus PacketAgent::handleReport(const BackendReport& report, std::uint64_t nowMillis)
 {
+    if (const auto refusal = refusalOf(report))
+        return *refusal;
     const bool isFirst = m_backend.incarnation() == 0;
     const ReportStatus status = m_backend.update(report, nowMillis);
     m_meter.setSlots(m_backend.report() ? m_backend.report()->slots : 1);
@@ -64,6 +99,7 @@
     if (status == ReportStatus::Renewed && !m_backendEnded)
         m_departureMillis = 0;
     if (status == ReportStatus::NewIncarnation) {
+        m_isBackendConfirmed = m_membership->serviceNamed(report.service) != nullptr;
         if (!isFirst)
             m_returnedFlows.clear(); // the first one returned them itself, before its report
         m_departureMillis = 0;
--- a/src/flow/PacketAgent.h
+++ b/src/flow/PacketAgent.h
@@ -31,6 +31,7 @@
     std::uint32_t reuseMillis = 2000; ///< A departed backend server's address may go to another service after this.
     std::uint32_t maximumFlowMillis = 60'000; ///< Longest lifetime of a flow; one that is idle for longer is forgotten.
     bool detectsOutliers = false; ///< Reports the service time, and forwards new flows to outliers last.
+    net::Address backend {}; ///< Where the backend server listens; reports of other addresses are refused if it is set.
 };
 
 /// The authority on the flows of one backend server. Accepts, queues, forwards or refuses new flows according to the
@@ -43,7 +44,8 @@
 
     void setMembership(MembershipPointer membership, std::uint64_t nowMillis);
 
-    /// Handles a report of the backend server.
+    /// Handles a report of the backend server. One that names another address, or a service that is not configured, has
+    /// no effect, as no backend server of this agent has sent it.
     ReportStatus handleReport(const BackendReport& report, std::uint64_t nowMillis);
 
     /// Handles the departure of a backend server. Returns false if another incarnation is known.
@@ -76,6 +78,9 @@
     /// How long the backend server gets no new flows after it left an opening packet unanswered or returned it.
     static constexpr std::uint64_t backoffMillis = 300;
 
+    std::optional<ReportStatus> refusalOf(const BackendReport& report) const;
+    void confirmBackend();
+
     struct Subscriber {
         bool isLocal = false;
         std::uint64_t renewedMillis = 0;
@@ -183,6 +188,7 @@
     std::uint32_t m_member = 0; // this agent's id; 0 before it has joined
     AgentDirectory m_peers;
     Backend m_backend;
+    bool m_isBackendConfirmed = false; // whether its service was found to be configured
     ColdLimiter m_cold;
     BackendMeter m_meter; // not used unless outliers are detected
     PacketFlowTable m_flows;
--- a/src/roles/PacketAgentService.cpp
+++ b/src/roles/PacketAgentService.cpp
@@ -33,7 +33,7 @@
     , m_log(counters)
     , m_core(settings.domain, flow::PacketEndpoint::of(m_packetSettings.listen), std::random_device {}(),
           { m_packetSettings.announceMillis, m_packetSettings.reuseMillis, m_packetSettings.maximumFlowMillis,
-              m_packetSettings.outliers == settings::OutlierDetection::On },
+              m_packetSettings.outliers == settings::OutlierDetection::On, m_packetSettings.backend },
           codec, *this, net::PacketLoop::nowMillis(), flow::HomeRegions(settings.regions))
     , m_loop("agent-packets")
 {
@@ -95,7 +95,8 @@
     const auto status = runOnLoop<flow::ReportStatus>(
         [this, report] { return m_core.handleReport(report, net::PacketLoop::nowMillis()); },
         flow::ReportStatus::Stale);
-    if (status == flow::ReportStatus::Stale)
+    const bool tookEffect = status == flow::ReportStatus::Renewed || status == flow::ReportStatus::NewIncarnation;
+    if (!tookEffect)
         return status;
     announce(report, status == flow::ReportStatus::NewIncarnation);
     return status;
--- a/tests/flow/MembershipTest.cpp
+++ b/tests/flow/MembershipTest.cpp
@@ -42,6 +42,25 @@
         CHECK_FALSE(flow::applyDelta(before, delta));
     }
 
+    SUBCASE("all services are known only after a full delta that has them all, and while each delta has")
+    {
+        flow::ServiceSpec service;
+        service.name = "listings";
+        delta.services = { service };
+        delta.hasAllServices = true;
+        CHECK_FALSE(flow::applyDelta(before, delta)->hasAllServices);
+        CHECK(flow::applyDelta(before, delta)->mayHaveService("inspections"));
+        delta.full = true;
+        auto after = flow::applyDelta(before, delta);
+        REQUIRE(after->hasAllServices);
+        CHECK(after->mayHaveService("listings"));
+        CHECK_FALSE(after->mayHaveService("inspections"));
+        flow::MembershipDelta earlierRelease;
+        earlierRelease.cluster = 7;
+        earlierRelease.revision = 7;
+        CHECK_FALSE(flow::applyDelta(*after, earlierRelease)->hasAllServices);
+    }
+
     SUBCASE("a full delta replaces all members")
     {
         delta.full = true;
--- a/tests/flow/PacketCasesTest.cpp
+++ b/tests/flow/PacketCasesTest.cpp
@@ -396,6 +396,150 @@
     CHECK(sent.backends.empty());
 }
 
+// Guards against resets of a living backend server's flows because a report of another writer counts as its next start.
+TEST_CASE("A report that names no backend server of this agent changes nothing")
+{
+    const net::Address address = *net::Address::parse("10.0.0.9:8080");
+    flow::PacketAgentLimits limits;
+    limits.backend = address;
+    Recorder sent;
+    flow::PacketAgent agent("coban", { 1, 7001 }, 1, limits, bench::modelCodec(), sent, start);
+    auto membership = std::make_shared<flow::Membership>(*membershipOf(1));
+    membership->hasAllServices = true;
+    const auto report = [&](std::uint64_t started, std::uint64_t sequence) {
+        auto own = reportOf(started, sequence);
+        own.address = address;
+        return own;
+    };
+    auto odd = report(200, 1);
+    odd.id = "other";
+    std::uint64_t ticked = start;
+    const auto advance = [&](std::uint64_t now) {
+        while (ticked + flow::PacketAgent::tickMillis <= now)
+            agent.tick(ticked += flow::PacketAgent::tickMillis); // without ticks the agent takes itself for suspended
+    };
+    const auto checkFlowIsServed = [&](std::uint64_t now) {
+        advance(now);
+        sent.backends.clear();
+        agent.receiveFromTrunk(balancer, enveloped(callerPacket(901, 10)), now);
+        CHECK(sent.backends.size() == 1);
+        CHECK(std::none_of(sent.callers.begin(), sent.callers.end(), [](const auto& packet) { return packet.resets; }));
+    };
+    const auto checkNewFlowIsAccepted = [&](std::uint64_t now) {
+        advance(now);
+        sent.backends.clear();
+        auto next = openingPacket();
+        next[8] ^= 1; // another port
+        agent.receiveFromTrunk(balancer, enveloped(next), now);
+        CHECK(sent.backends.size() == 1);
+    };
+
+    SUBCASE("while a backend server is served")
+    {
+        agent.setMembership(membership, start);
+        REQUIRE(agent.handleReport(report(100, 1), start) == flow::ReportStatus::NewIncarnation);
+        agent.receiveFromTrunk(balancer, enveloped(openingPacket()), start);
+        agent.receiveFromBackend(answerPacket(900), start + 1);
+        agent.receiveFromTrunk(balancer, enveloped(callerPacket(901)), start + 2);
+
+        SUBCASE("of a service that is not configured")
+        {
+            odd.service = "no-such-service";
+            CHECK(agent.handleReport(odd, start + 10) == flow::ReportStatus::UnknownService);
+            checkFlowIsServed(start + 20);
+            CHECK(agent.handleReport(report(100, 2), start + 1200) == flow::ReportStatus::Renewed);
+            checkNewFlowIsAccepted(start + 1210);
+        }
+
+        SUBCASE("of a service that is not configured, under the id and start of the one that is served")
+        {
+            odd = report(100, 2);
+            odd.service = "no-such-service";
+            CHECK(agent.handleReport(odd, start + 10) == flow::ReportStatus::UnknownService);
+            checkFlowIsServed(start + 20);
+            checkNewFlowIsAccepted(start + 30);
+        }
+
+        SUBCASE("at another address")
+        {
+            odd.address = *net::Address::parse("10.0.0.9:8081");
+            CHECK(agent.handleReport(odd, start + 10) == flow::ReportStatus::OtherAddress);
+            checkFlowIsServed(start + 20);
+            checkNewFlowIsAccepted(start + 30);
+        }
+
+        SUBCASE("but the served one is renewed after its service was removed, and none takes its place")
+        {
+            auto removed = std::make_shared<flow::Membership>(*membership);
+            removed->revision = 6;
+            removed->services.front().name = "inspections";
+            agent.setMembership(removed, start + 10);
+            CHECK(agent.handleReport(report(100, 2), start + 1200) == flow::ReportStatus::Renewed);
+            CHECK(agent.handleReport(report(200, 1), start + 1300) == flow::ReportStatus::UnknownService);
+            checkFlowIsServed(start + 1310);
+        }
+
+        SUBCASE("but one of a configured service takes its place, and the flows end")
+        {
+            sent.callers.clear();
+            CHECK(agent.handleReport(odd, start + 10) == flow::ReportStatus::NewIncarnation);
+            REQUIRE(sent.callers.size() == 1);
+            CHECK(sent.callers.front().resets);
+        }
+
+        SUBCASE("until its service is configured")
+        {
+            odd.service = "inspections";
+            CHECK(agent.handleReport(odd, start + 10) == flow::ReportStatus::UnknownService);
+            auto extended = std::make_shared<flow::Membership>(*membership);
+            extended->revision = 6;
+            extended->services.push_back(extended->services.front());
+            extended->services.back().id = 2;
+            extended->services.back().name = "inspections";
+            agent.setMembership(extended, start + 100);
+            odd.sequence = 2;
+            CHECK(agent.handleReport(odd, start + 1210) == flow::ReportStatus::NewIncarnation);
+        }
+    }
+
+    SUBCASE("while the agent does not know the services yet")
+    {
+        agent.receiveFromTrunk(balancer, enveloped(callerPacket(901)), start + 1); // a flow of before its restart
+        agent.receiveFromBackend(dataPacket(901, 10), start + 2);
+
+        SUBCASE("a second report does not take the place of the first")
+        {
+            REQUIRE(agent.handleReport(report(100, 40), start + 10) == flow::ReportStatus::NewIncarnation);
+            CHECK(agent.handleReport(odd, start + 20) == flow::ReportStatus::UnknownService);
+            checkFlowIsServed(start + 30);
+            agent.setMembership(membership, start + 50);
+            checkFlowIsServed(start + 60);
+            checkNewFlowIsAccepted(start + 70);
+        }
+
+        SUBCASE("the first report is dropped once its service turns out not to be configured")
+        {
+            odd.service = "no-such-service";
+            REQUIRE(agent.handleReport(odd, start + 10) == flow::ReportStatus::NewIncarnation);
+            CHECK(agent.handleReport(report(100, 40), start + 20) == flow::ReportStatus::UnknownService);
+            agent.setMembership(membership, start + 50);
+            checkFlowIsServed(start + 60);
+            CHECK(agent.handleReport(report(100, 41), start + 1220) == flow::ReportStatus::NewIncarnation);
+            checkFlowIsServed(start + 1230);
+            checkNewFlowIsAccepted(start + 1240);
+        }
+    }
+
+    SUBCASE("with control instances of an earlier release every service counts as configured")
+    {
+        membership->hasAllServices = false;
+        agent.setMembership(membership, start);
+        REQUIRE(agent.handleReport(report(100, 1), start) == flow::ReportStatus::NewIncarnation);
+        odd.service = "inspections"; // not followed
+        CHECK(agent.handleReport(odd, start + 10) == flow::ReportStatus::NewIncarnation);
+    }
+}
+
 TEST_CASE("An agent ends the flows of a backend server that has departed")
 {
     Recorder sent;
