--- a/tools/soak_site.py
+++ b/tools/soak_site.py
@@ -158,12 +158,15 @@
     def incarnation(self):
         return self.id if self.alive else None
 
+    def description(self):
+        return {"service": self.service, "address": f"{self.host}:{BACKEND_PORT}", "zone": "z", "version": "v1",
+                "slots": self.slots, "state": self.state, "coldRemainingMs": 0, "sequence": self.sequence,
+                "born": self.born}
+
     async def report(self):
         self.sequence += 1
         reported, state = self.id, self.state
-        body = {"service": self.service, "address": f"{self.host}:{BACKEND_PORT}", "zone": "z", "version": "v1",
-                "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": self.sequence,
-                "born": self.born}
+        body = self.description()
         status, _ = await call("PUT", self.report_to, f"/api/instances/{self.id}", json.dumps(body))
         if status == 200 and state == "draining" and self.id == reported and self.drained_at is None:
             self.drained_at = time.monotonic()
