Group the report functions of PacketAgent, and document a field

No change of behaviour: the declarations move to a group of their own, and MembershipDelta says what hasAllServices means.

--- a/src/flow/Membership.h
+++ b/src/flow/Membership.h
@@ -105,7 +105,7 @@
     std::vector<net::Address> controlAddresses; ///< RPC addresses of the control instances, as listed in a reply.
     std::vector<std::string> evacuated {}; ///< All evacuated failure domains, not only the changed ones; sorted.
     OverloadPolicy overload = OverloadPolicy::Goal;
-    bool hasAllServices = false;
+    bool hasAllServices = false; ///< Whether no changed service is left out.
 };
 
 /// Returns the membership after a delta; null if the delta is not newer or belongs to another cluster. A membership of
--- a/src/flow/PacketAgent.h
+++ b/src/flow/PacketAgent.h
@@ -78,9 +78,6 @@
     /// How long the backend server gets no new flows after it left an opening packet unanswered or returned it.
     static constexpr std::uint64_t backoffMillis = 300;
 
-    std::optional<ReportStatus> refusalOf(const BackendReport& report) const;
-    void confirmBackend();
-
     struct Subscriber {
         bool isLocal = false;
         std::uint64_t renewedMillis = 0;
@@ -88,6 +85,10 @@
         AgentLoad sentLoad;
     };
 
+    // Reports of the backend server.
+    std::optional<ReportStatus> refusalOf(const BackendReport& report) const;
+    void confirmBackend();
+
     // New flows.
     void handleOpening(
         PacketEnvelope envelope, PacketBytes packet, const PacketHeader& header, std::uint64_t nowMillis);
