Flows that a restarted backend server has accepted outlive its first report

Callers saw: flows reset by the system though the backend server that held them lived, within a second after it had started again.

Cause: a restarted backend server answers opening packets before its first report arrives. The agent counted those flows as the previous incarnation's and reset them with the report, even where a packet that came back had proved the restart before.

Change: the agent notes when the backend server first returns a packet of an open flow. Flows that it accepts from then on go to the incarnation that reports next; earlier ones are reset as before. A later report of the present incarnation cancels the note.

Why this works: a returned packet proves that the present incarnation has ended, so that whatever answers an opening packet afterwards is the next one.

Test: PacketCasesTest "A report of a restarted backend server ends the flows of before its restart only".

--- a/src/flow/PacketAgent.cpp
+++ b/src/flow/PacketAgent.cpp
@@ -98,14 +98,18 @@
     }
     if (status == ReportStatus::Renewed && !m_backendEnded)
         m_departureMillis = 0;
+    if (status == ReportStatus::Renewed)
+        m_restartMillis = 0;
     if (status == ReportStatus::NewIncarnation) {
         m_isBackendConfirmed = m_membership->serviceNamed(report.service) != nullptr;
         if (!isFirst)
             m_returnedFlows.clear(); // the first one returned them itself, before its report
         m_departureMillis = 0;
         m_backendEnded = false;
-        if (!isFirst)
+        if (!isFirst) {
+            keepFlowsAfterRestart(m_backend.incarnation() - 1);
             endFlows(m_backend.incarnation() - 1, FlowReason::BackendReplaced);
+        }
         if (m_backend.mayBeOlderThanAgent())
             m_cold.assumeEarlierRequests(); // its reports tell how long it stays cold
         else
@@ -366,6 +370,18 @@
     });
 }
 
+// A backend server that has restarted accepts flows before its report arrives. They are those of its new incarnation.
+void PacketAgent::keepFlowsAfterRestart(std::uint64_t incarnation)
+{
+    const std::uint64_t restartMillis = std::exchange(m_restartMillis, 0);
+    if (restartMillis == 0)
+        return;
+    m_flows.forEach([&](const PacketFlow&, PacketFlowEntry& entry) {
+        if (entry.incarnation == incarnation && entry.offeredMillis >= restartMillis)
+            entry.incarnation = m_backend.incarnation();
+    });
+}
+
 // A backend server ends right after its departure.
 void PacketAgent::endFlowsAfterDeparture(std::uint64_t nowMillis)
 {
@@ -510,6 +526,8 @@
         return;
     }
     const bool isFinished = entry->callerFinished || entry->backendFinished;
+    if (state == PacketFlowState::Open && !isFinished && sameIncarnation && m_restartMillis == 0)
+        m_restartMillis = nowMillis;
     m_meter.finishRequest(flow, RequestOutcome::Failed, nowMillis);
     m_flows.erase(flow);
     if (state == PacketFlowState::Open && !isFinished)
--- a/src/flow/PacketAgent.h
+++ b/src/flow/PacketAgent.h
@@ -156,6 +156,7 @@
     FlowHolding holdingOf(const QueriedFlow& queried, std::uint64_t nowMillis);
     void handleQuery(const PacketEndpoint& source, PacketBytes datagram, std::uint64_t nowMillis);
     void endFlows(std::uint64_t incarnation, FlowReason reason);
+    void keepFlowsAfterRestart(std::uint64_t incarnation);
     void endFlowsAfterDeparture(std::uint64_t nowMillis);
     void resetFlow(const PacketFlow& flow, std::uint32_t sequence, FlowReason reason);
 
@@ -209,6 +210,9 @@
     std::uint64_t m_backoffUntilMillis = 0;
     std::uint64_t m_departureMillis = 0; // last packet or departure of a backend server that has departed; 0 if none
     bool m_backendEnded = false; // the backend server has departed, and its flows were reset
+    // When the backend server has first returned a packet of an open flow since it last reported; 0 if it has not. Its
+    // present incarnation has ended then, and what it accepts afterwards belongs to the next one.
+    std::uint64_t m_restartMillis = 0;
     std::uint64_t m_lastExpireMillis = 0;
     std::uint64_t m_lastSubscribeMillis = 0;
     double m_openingToRequestMillis = 0; // mean time from an accepted opening packet to the flow's request
--- a/tests/flow/PacketCasesTest.cpp
+++ b/tests/flow/PacketCasesTest.cpp
@@ -540,6 +540,78 @@
     }
 }
 
+// Guards against resets of flows that a restarted backend server has accepted before its first report arrived.
+TEST_CASE("A report of a restarted backend server ends the flows of before its restart only")
+{
+    Recorder sent;
+    flow::PacketAgent agent("coban", { 1, 7001 }, 1, {}, bench::modelCodec(), sent, start);
+    agent.setMembership(membershipOf(1), start);
+    auto report = reportOf(100, 1);
+    report.slots = 7;
+    agent.handleReport(report, start);
+    const auto packetOf = [](std::uint16_t port, bool opens, std::uint32_t acknowledged, std::size_t bytes) {
+        flow::PacketHeader header;
+        header.source = { caller.host, port };
+        header.destination = route;
+        header.opens = opens;
+        header.acknowledges = !opens;
+        header.acknowledged = acknowledged;
+        return bench::ModelCodec::encode(header, 1, bytes);
+    };
+    const auto open = [&](std::uint16_t port, std::uint64_t now) {
+        agent.receiveFromTrunk(balancer, enveloped(packetOf(port, true, 0, 0)), now);
+        flow::PacketHeader answer;
+        answer.source = route;
+        answer.destination = { caller.host, port };
+        answer.opens = answer.acknowledges = true;
+        answer.sequence = 900;
+        agent.receiveFromBackend(bench::ModelCodec::encode(answer, 1, 0), now + 1);
+        agent.receiveFromTrunk(balancer, enveloped(packetOf(port, false, 901, 10)), now + 2);
+    };
+    const auto bounce = [&](std::uint16_t port, std::uint64_t now) {
+        auto returned = packetOf(port, false, 901, 10);
+        returned[bench::ModelCodec::flagsOffset] |= bench::ModelCodec::bouncedFlag;
+        agent.receiveFromBackend(returned, now);
+    };
+    const auto resetPorts = [&sent] {
+        std::vector<std::uint16_t> ports;
+        for (const auto& packet : sent.callers) {
+            if (packet.resets)
+                ports.push_back(packet.destination.port);
+        }
+        return ports;
+    };
+    open(1, start + 10);
+    open(2, start + 20);
+    bounce(1, start + 100);
+    REQUIRE(resetPorts() == std::vector<std::uint16_t> { 1 });
+    report = reportOf(200, 1);
+    report.slots = 7;
+
+    SUBCASE("a flow that opened after a packet was returned goes on")
+    {
+        open(3, start + 110);
+        agent.handleReport(report, start + 200);
+        CHECK(resetPorts() == std::vector<std::uint16_t> { 1, 2 });
+        sent.backends.clear();
+        agent.receiveFromTrunk(balancer, enveloped(packetOf(3, false, 901, 10)), start + 210);
+        CHECK(sent.backends.size() == 1);
+        agent.handleReport(reportOf(300, 1), start + 400);
+        CHECK(resetPorts() == std::vector<std::uint16_t> { 1, 2, 3 });
+    }
+
+    SUBCASE("a report of the present incarnation shows that it has forgotten one flow only")
+    {
+        report = reportOf(100, 2);
+        report.slots = 7;
+        agent.handleReport(report, start + 105);
+        open(3, start + 110);
+        agent.handleReport(reportOf(200, 1), start + 200);
+        const auto ports = resetPorts();
+        CHECK(std::count(ports.begin(), ports.end(), 3) == 1);
+    }
+}
+
 TEST_CASE("An agent ends the flows of a backend server that has departed")
 {
     Recorder sent;
