A packet that was returned before the first report is no proof of a restart after it

Callers would see: flows of a backend server that has restarted twice in short order wait for an answer that never comes, where they got a reset at once.

Cause: the time of the first returned packet was kept beyond an agent's first report, and beyond a backend server that was dropped because its service is not configured. Flows that opened later then counted as opened after a restart.

Change: the first report and the drop clear the time.

Test: a section of "A report of a restarted backend server ends the flows of before its restart only", which fails without the change: the flow gets no reset.

--- a/src/flow/PacketAgent.cpp
+++ b/src/flow/PacketAgent.cpp
@@ -76,6 +76,7 @@
     if (m_isBackendConfirmed || m_membership->mayHaveService(report->service))
         return;
     m_departureMillis = 0;
+    m_restartMillis = 0;
     const std::uint64_t incarnation = m_backend.incarnation();
     m_backend.withdraw();
     m_flows.forEach([&](const PacketFlow&, PacketFlowEntry& entry) {
@@ -106,7 +107,9 @@
             m_returnedFlows.clear(); // the first one returned them itself, before its report
         m_departureMillis = 0;
         m_backendEnded = false;
-        if (!isFirst) {
+        if (isFirst) {
+            m_restartMillis = 0;
+        } else {
             keepFlowsAfterRestart(m_backend.incarnation() - 1);
             endFlows(m_backend.incarnation() - 1, FlowReason::BackendReplaced);
         }
--- a/tests/flow/PacketCasesTest.cpp
+++ b/tests/flow/PacketCasesTest.cpp
@@ -548,7 +548,6 @@
     agent.setMembership(membershipOf(1), start);
     auto report = reportOf(100, 1);
     report.slots = 7;
-    agent.handleReport(report, start);
     const auto packetOf = [](std::uint16_t port, bool opens, std::uint32_t acknowledged, std::size_t bytes) {
         flow::PacketHeader header;
         header.source = { caller.host, port };
@@ -581,15 +580,19 @@
         }
         return ports;
     };
-    open(1, start + 10);
-    open(2, start + 20);
-    bounce(1, start + 100);
-    REQUIRE(resetPorts() == std::vector<std::uint16_t> { 1 });
-    report = reportOf(200, 1);
-    report.slots = 7;
+    const auto restart = [&] {
+        agent.handleReport(report, start);
+        open(1, start + 10);
+        open(2, start + 20);
+        bounce(1, start + 100);
+        REQUIRE(resetPorts() == std::vector<std::uint16_t> { 1 });
+        report = reportOf(200, 1);
+        report.slots = 7;
+    };
 
     SUBCASE("a flow that opened after a packet was returned goes on")
     {
+        restart();
         open(3, start + 110);
         agent.handleReport(report, start + 200);
         CHECK(resetPorts() == std::vector<std::uint16_t> { 1, 2 });
@@ -600,8 +603,24 @@
         CHECK(resetPorts() == std::vector<std::uint16_t> { 1, 2, 3 });
     }
 
+    SUBCASE("a packet that was returned before the first report does not count")
+    {
+        agent.receiveFromTrunk(balancer, enveloped(packetOf(1, false, 901, 10)), start); // a flow of before the agent
+        flow::PacketHeader data;
+        data.source = route;
+        data.destination = { caller.host, 1 };
+        data.acknowledges = true;
+        agent.receiveFromBackend(bench::ModelCodec::encode(data, 1, 10), start + 1);
+        bounce(1, start + 2);
+        agent.handleReport(report, start + 3);
+        open(3, start + 10);
+        agent.handleReport(reportOf(200, 1), start + 200);
+        CHECK(resetPorts() == std::vector<std::uint16_t> { 1, 3 });
+    }
+
     SUBCASE("a report of the present incarnation shows that it has forgotten one flow only")
     {
+        restart();
         report = reportOf(100, 2);
         report.slots = 7;
         agent.handleReport(report, start + 105);
