--- a/review/lab3.py
+++ b/review/lab3.py
@@ -296,6 +296,8 @@
     def __init__(self, lab, agent, service, slots=2, work=0.02):
         self.lab, self.agent, self.service, self.slots, self.work = lab, agent, service, slots, work
         self.id = f"i-{random.randrange(16 ** 10):010x}"
+        self.report_to = agent.control
+        self.tasks = []
         self.born = int(time.time() * 1000)
         self.flows = {}
         self.arrivals = []  # time of arrival and sending of each opening packet whose flow opened
@@ -308,7 +310,14 @@
     async def start(self):
         self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: Datagrams(self.handle), local_addr=(self.agent.ip, self.lab.ports["app"]))
-        self.lab.spawn(self.report_forever())
+        self.tasks.append(self.lab.spawn(self.report_forever()))
+
+    def crash(self):
+        """Ends at once: discards its flows and says nothing."""
+        for task in self.tasks:
+            task.cancel()
+        self.transport.close()
+        self.lab.record(f"{self.agent.name}'s server {self.id} crashes")
 
     async def report_forever(self):
         await asyncio.sleep(random.uniform(0, self.lab.heartbeat_ms / 1000))
@@ -320,11 +329,12 @@
     async def report(self):
         self.sequence += 1
         cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
-        status, _ = await http(self.agent.control, "PUT", f"/api/instances/{self.id}", {
+        status, _ = await http(self.report_to, "PUT", f"/api/instances/{self.id}", {
             "service": self.service, "address": f"{self.agent.ip}:{self.lab.ports['app']}", "zone": self.agent.zone,
             "version": "v1", "slots": self.slots, "state": self.state, "coldRemainingMs": cold,
             "sequence": self.sequence, "born": self.born})
-        self.lab.record(f"{self.agent.name}'s server reports coldRemainingMs {cold}: {status or 'no response'}")
+        self.lab.record(f"{self.agent.name}'s server {self.id} reports, sequence {self.sequence}, coldRemainingMs {cold}:"
+                        f" {status or 'no response'}")
         return status
 
     def send(self, packet, flags, seq, ack, data=b""):
@@ -351,6 +361,14 @@
             return
         if not flow["open"] and packet.ack == (flow["seq"] + 1) & 0xffffffff:
             flow["open"] = True
+        if flow["open"] and packet.len and packet.data.startswith(b"KEEP "):
+            if flow.get("next") != packet.seq:
+                flow["next"] = packet.seq
+                flow["sent"] = flow.get("sent", flow["seq"] + 1)
+                answer = b"HTTP/1.1 200 OK " + packet.data.split(b" ")[1]
+                self.send(packet, ACK, flow["sent"], packet.seq + packet.len, answer)
+                flow["sent"] += len(answer)
+            return
         if flow["open"] and packet.len and not flow["ran"]:
             flow["ran"] = True
             identity = packet.data.split(b" ")[1].decode()
