Review scripts: a fault of a stand-in is no broken rule, and no process is left

Cause: an exception in a stand-in ended a script with 1, which says that the rule was broken, and left the processes that it had started; so did SIGTERM.

Change: the runner ends all processes whatever happens and exits with 2. The stand-ins that exchange packets move from lab3.py to flows3.py, a planned stop is one function, and each case begins with what it does. What the cases do, their limits and checks are the same.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,3 +1,5 @@
+"""A machine of the core is gone without SIGTERM after its successor has joined; then another one loses its disk."""
+
 import asyncio
 import os
 import sys
@@ -10,6 +12,7 @@
 ZONES = ["zone-a", "zone-b", "zone-c"]
 BOUNDS = {"reuseAfterS": 2, "maxFlowS": 60}
 CATCH_UP_SECONDS = 4.0  # catchUpS
+GRACE_SECONDS = 6.0  # graceS
 RECOVERY_SECONDS = 12.0  # recoveryS
 WINDOW_SECONDS = 4.0  # connectivityWindowMs
 GAP_SECONDS = float(os.environ.get("GAP", "1.0"))  # between the machine that is gone and the lost disk
@@ -22,7 +25,7 @@
 
 
 async def run(lab):
-    nodes = await lab3.control_site(lab, 3, ZONES)
+    nodes = await lab3.start_control(lab, 3, ZONES)
     operator = lab3.Operator(lab, nodes)
 
     def version(number):
@@ -37,9 +40,7 @@
     gone = nodes.pop(GONE)
     nodes.append(new)
     if lab3.TROUBLE and PLANNED:
-        gone.send_signal(lab3.signal.SIGTERM)
-        while gone.popen.poll() is None:
-            await asyncio.sleep(0.02)
+        await gone.stop(GRACE_SECONDS)
     if lab3.TROUBLE:
         gone.kill(wipe=True)
     await asyncio.sleep(0.2)
--- a/review/lab3.py
+++ b/review/lab3.py
@@ -1,5 +1,5 @@
-"""Starts control instances, balancers and agents of the deploy file on loopback addresses, with small stand-ins of the
-platform, its backend servers, its clients and its operator. Used by the scripts of cases 11 and later."""
+"""Starts control instances, balancers and agents as the deploy file says, each on a loopback address of its own, and calls
+them as the platform's operator does. Runs the cases 11 and later; flows3.py has the stand-ins that exchange packets."""
 
 import asyncio
 import json
@@ -9,19 +9,16 @@
 import shutil
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
 import time
 import tomllib
-import zlib
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-SYN, ACK, FIN, RST, BOUNCED = 16, 2, 4, 8, 128
-HEADER = struct.Struct(">IH4sH4sHBBIII")
+LIMIT_SECONDS = 112.0  # of a run; a script may take 120 s
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RETRANSMIT_SECONDS = (0.2, 0.6, 1.4)
 ORDER_SECONDS = 1.0  # an operator goes to another node after a second without a response
 
 
@@ -102,22 +99,30 @@
             self.popen = subprocess.Popen(words, cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         lab.record(f"{self.name} started at {self.ip}")
 
+    def is_running(self):
+        return self.popen is not None and self.popen.poll() is None
+
+    async def stop(self, grace_seconds):
+        """A planned stop, as by the platform: SIGTERM, and SIGKILL after the grace time."""
+        self.send_signal(signal.SIGTERM)
+        end = time.monotonic() + grace_seconds
+        while self.is_running() and time.monotonic() < end:
+            await asyncio.sleep(0.02)
+        if self.is_running():
+            self.kill()
+
     def send_signal(self, number):
         self.popen.send_signal(number)
         self.lab.record(f"{self.name} gets {signal.Signals(number).name}")
 
     def kill(self, wipe=False):
-        if self.popen and self.popen.poll() is None:
+        if self.is_running():
             self.popen.kill()
             self.popen.wait()
         if wipe:
             shutil.rmtree(self.data, ignore_errors=True)
         self.lab.record(f"{self.name} is killed" + (" and has lost its disk" if wipe else ""))
 
-    def log_lines(self, event):
-        with open(os.path.join(self.lab.folder, self.name + ".log"), encoding="utf-8", errors="replace") as file:
-            return [line.strip() for line in file if f'"event":"{event}"' in line]
-
 
 class Lab:
     def __init__(self, folder, zones, bounds, heartbeat_ms=1200):
@@ -178,7 +183,7 @@
 
     def close(self):
         for node in self.nodes:
-            if node.popen and node.popen.poll() is None:
+            if node.is_running():
                 node.popen.kill()
                 node.popen.wait()
         self.output.close()
@@ -263,209 +268,6 @@
     }
 
 
-def pack(src, sport, dst, dport, flags, seq, ack, data=b""):
-    body = HEADER.pack(0, dport, socket.inet_aton(dst), sport, socket.inet_aton(src), len(data), flags, 0, 0,
-                       seq & 0xffffffff, ack & 0xffffffff) + data
-    return struct.pack(">I", zlib.crc32(body[4:18] + body[24:] + bytes([flags]), 0x5eed) or 1) + body[4:]
-
-
-class Packet:
-    def __init__(self, raw):
-        (self.sum, self.dport, dst, self.sport, src, self.len, self.flags, self.pad, self.echo, self.seq,
-         self.ack) = HEADER.unpack(raw[:32])
-        self.src, self.dst, self.data, self.raw = socket.inet_ntoa(src), socket.inet_ntoa(dst), raw[32:], raw
-
-    def is_true(self):
-        """Whether a client or a backend server wrote the packet so."""
-        flags = self.flags & ~BOUNCED
-        return self.sum == (zlib.crc32(self.raw[4:18] + self.raw[24:] + bytes([flags]), 0x5eed) or 1)
-
-
-class Datagrams(asyncio.DatagramProtocol):
-    def __init__(self, handle):
-        self.handle = handle
-
-    def datagram_received(self, data, addr):
-        if len(data) >= 32:
-            self.handle(Packet(data))
-
-
-class Backend:
-    """A backend server beside an agent: takes flows, runs requests in its slots, reports itself."""
-
-    def __init__(self, lab, agent, service, slots=2, work=0.02):
-        self.lab, self.agent, self.service, self.slots, self.work = lab, agent, service, slots, work
-        self.id = f"i-{random.randrange(16 ** 10):010x}"
-        self.report_to = agent.control
-        self.tasks = []
-        self.born = int(time.time() * 1000)
-        self.flows = {}
-        self.arrivals = []  # time of arrival and sending of each opening packet whose flow opened
-        self.sequence = 0
-        self.state = "ready"
-        self.cold_until = 0.0
-        self.outbound = (agent.ip, lab.ports["outbound"])
-        self.running = asyncio.Semaphore(slots)
-
-    async def start(self):
-        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: Datagrams(self.handle), local_addr=(self.agent.ip, self.lab.ports["app"]))
-        self.tasks.append(self.lab.spawn(self.report_forever()))
-
-    def crash(self):
-        """Ends at once: discards its flows and says nothing."""
-        for task in self.tasks:
-            task.cancel()
-        self.transport.close()
-        self.lab.record(f"{self.agent.name}'s server {self.id} crashes")
-
-    async def report_forever(self):
-        await asyncio.sleep(random.uniform(0, self.lab.heartbeat_ms / 1000))
-        while True:
-            began = time.monotonic()
-            await self.report()
-            await asyncio.sleep(max(0.0, began + self.lab.heartbeat_ms / 1000 - time.monotonic()))
-
-    async def report(self):
-        self.sequence += 1
-        cold = max(0, int((self.cold_until - time.monotonic()) * 1000))
-        status, _ = await http(self.report_to, "PUT", f"/api/instances/{self.id}", {
-            "service": self.service, "address": f"{self.agent.ip}:{self.lab.ports['app']}", "zone": self.agent.zone,
-            "version": "v1", "slots": self.slots, "state": self.state, "coldRemainingMs": cold,
-            "sequence": self.sequence, "born": self.born})
-        self.lab.record(f"{self.agent.name}'s server {self.id} reports, sequence {self.sequence}, coldRemainingMs {cold}:"
-                        f" {status or 'no response'}")
-        return status
-
-    def send(self, packet, flags, seq, ack, data=b""):
-        self.transport.sendto(pack(packet.dst, packet.dport, packet.src, packet.sport, flags, seq, ack, data),
-                              self.outbound)
-
-    def handle(self, packet):
-        key = (packet.src, packet.sport, packet.dst, packet.dport)
-        flow = self.flows.get(key)
-        if not packet.is_true():
-            self.lab.record(f"{self.agent.name}'s server: a packet that its sender did not write")
-            return
-        if packet.flags & SYN and not packet.flags & ACK:
-            if not flow:
-                flow = self.flows[key] = {"seq": random.randrange(1 << 32), "open": False, "ran": False,
-                                          "arrived": time.monotonic(), "syn": packet}
-            self.send(packet, SYN | ACK, flow["seq"], packet.seq + 1)
-            return
-        if not flow:
-            raw = bytearray(packet.raw)
-            raw[18] |= BOUNCED
-            raw[19] = 0
-            self.transport.sendto(bytes(raw), self.outbound)
-            return
-        if not flow["open"] and packet.ack == (flow["seq"] + 1) & 0xffffffff:
-            flow["open"] = True
-        if flow["open"] and packet.len and packet.data.startswith(b"KEEP "):
-            if flow.get("next") != packet.seq:
-                flow["next"] = packet.seq
-                flow["sent"] = flow.get("sent", flow["seq"] + 1)
-                answer = b"HTTP/1.1 200 OK " + packet.data.split(b" ")[1]
-                self.send(packet, ACK, flow["sent"], packet.seq + packet.len, answer)
-                flow["sent"] += len(answer)
-            return
-        if flow["open"] and packet.len and not flow["ran"]:
-            flow["ran"] = True
-            identity = packet.data.split(b" ")[1].decode()
-            self.arrivals.append((flow["arrived"], time.monotonic(), identity))
-            self.lab.spawn(self.run(packet, flow, identity))
-        elif packet.flags & FIN:
-            self.send(packet, ACK, flow["seq"] + 1, packet.seq + packet.len + 1)
-
-    async def run(self, packet, flow, identity):
-        async with self.running:
-            self.lab.record(f"{self.agent.name}'s server runs {identity}")
-            await asyncio.sleep(self.work)
-        flow["answer"] = f"HTTP/1.1 200 OK {identity} {self.id}".encode()
-        self.send(packet, ACK | FIN, flow["seq"] + 1, packet.seq + packet.len, flow["answer"])
-
-
-class Clients:
-    """Clients of one address; each request takes a flow of its own."""
-
-    def __init__(self, lab, balancer, port):
-        self.lab, self.balancer, self.port = lab, balancer, port
-        self.ip = lab.address()
-        self.waiting = {}
-        self.last_port = random.randrange(20_000, 30_000)
-        self.outcomes = {}
-        self.sent = {}  # time of each request's first packet
-        self.count = 0
-
-    async def start(self):
-        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: Datagrams(self.handle), local_addr=(self.ip, self.lab.ports["packets"]))
-
-    def handle(self, packet):
-        queue = self.waiting.get(packet.dport)
-        if queue:
-            queue.put_nowait(packet)
-
-    def send(self, sport, flags, seq, ack, data=b""):
-        self.transport.sendto(pack(self.ip, sport, "127.200.0.1", self.port, flags, seq, ack, data),
-                              (self.balancer.ip, self.lab.ports["packets"]))
-
-    async def request(self):
-        """One attempt. Returns the answer's text, or what went wrong."""
-        self.last_port += 1
-        self.count += 1
-        sport, identity = self.last_port, f"q-{self.count}"
-        queue = self.waiting[sport] = asyncio.Queue()
-        outcome = await self.attempt(sport, identity, queue)
-        self.outcomes[outcome.split(" ")[0]] = self.outcomes.get(outcome.split(" ")[0], 0) + 1
-        self.lab.record(f"client: {identity}: {outcome}")
-        del self.waiting[sport]
-        return outcome
-
-    async def attempt(self, sport, identity, queue):
-        began = self.sent[identity] = time.monotonic()
-        seq = random.randrange(1 << 32)
-        answer = None
-        for copy, until in enumerate(RETRANSMIT_SECONDS):
-            self.send(sport, SYN, seq, copy)
-            answer = await self.take(queue, began + until)
-            if answer:
-                break
-        if not answer:
-            return "unopened"
-        if answer.flags & RST:
-            return "reset-before-open"
-        data = f"GET {identity} HTTP/1.1".encode()
-        for wait in (0.2, 0.4, 0.8):
-            self.send(sport, ACK, seq + 1, answer.seq + 1, data)
-            end = time.monotonic() + wait
-            while True:
-                packet = await self.take(queue, end)
-                if not packet:
-                    break
-                if packet.flags & RST:
-                    return "reset-after-open"
-                if packet.len:
-                    self.send(sport, ACK | FIN, seq + 1 + len(data), packet.seq + packet.len + 1)
-                    return f"answered {packet.data.decode()}"
-        return "unanswered"
-
-    async def take(self, queue, until):
-        try:
-            async with asyncio.timeout(max(0.0, until - time.monotonic())):
-                return await queue.get()
-        except TimeoutError:
-            return None
-
-    async def load(self, per_second, until):
-        """Starts requests at a steady rate until the loop's time `until`."""
-        due = time.monotonic()
-        while time.monotonic() < until():
-            self.lab.spawn(self.request())
-            due += 1 / per_second
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-
-
 async def wait_for(what, condition, seconds):
     end = time.monotonic() + seconds
     while time.monotonic() < end:
@@ -475,8 +277,8 @@
     raise CannotRun(f"not within {seconds} s: {what}")
 
 
-async def control_site(lab, count, zones):
-    """Starts the control instances with empty disks and sends version 1."""
+async def start_control(lab, count, zones):
+    """Starts control instances with empty disks as a new system; the first three are its seeds."""
     nodes = [lab.add(f"control-{index + 1}", "control", zones[index % len(zones)]) for index in range(count)]
     lab.seeds = [node.control for node in nodes[:3]]
     for node in nodes:
@@ -484,30 +286,34 @@
     return nodes
 
 
-def main(folder, case):
-    """Runs a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    lab = None
-    code = 2
+async def run_limited(lab, case):
     try:
-        lab = case.make(folder)
+        async with asyncio.timeout(LIMIT_SECONDS):
+            return await case.run(lab)
+    finally:
+        for task in list(lab.tasks):
+            task.cancel()
 
-        async def run():
-            try:
-                async with asyncio.timeout(float(os.environ.get("LIMIT", "112"))):
-                    return await case.run(lab)
-            finally:
-                for task in list(lab.tasks):
-                    task.cancel()
 
-        broken = asyncio.run(run())
-        verdict = "BROKEN: " + broken if broken else "held"
-        code = 1 if broken else 0
+def main(folder, case):
+    """Runs a case and exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. Whatever happens, all
+    processes that it started have ended by then."""
+    # SIGTERM must not leave processes behind either.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    lab, code, verdict = None, 2, "could not run: stopped"
+    try:
+        lab = case.make(folder)
+        broken = asyncio.run(run_limited(lab, case))
+        code, verdict = (1, "BROKEN: " + broken) if broken else (0, "held")
     except CannotRun as fault:
         verdict = f"could not run: {fault}"
     except TimeoutError:
         verdict = "could not run: out of time"
-    if lab:
-        lab.record(verdict)
-        lab.close()
+    except Exception:  # a fault of a stand-in says nothing about the rule
+        verdict = "could not run: " + traceback.format_exc()
+    finally:
+        if lab:
+            lab.record(verdict)
+            lab.close()
     print(verdict)
     sys.exit(code)
