--- a/review/search-without-agents.cpp
+++ b/review/search-without-agents.cpp
@@ -1,8 +1,8 @@
 // A finding that is no case (REPORT-3.md): a balancer divides by zero in FlowSearch::poll.
 //
-// 1. Callers send packets of many flows that the balancer does not know, as after its restart. Their searches use up the
-//    rate of queries. The last search ends, by the reply of its flow's holder, before its pass has reached all agents,
-//    and FlowSearch::m_asked keeps the flow.
+// 1. Callers send packets of many flows that the balancer does not know, as after its restart. Their searches use up
+//    the rate of queries. The last search ends, by the reply of its flow's holder, before its pass has reached all
+//    agents, and FlowSearch::m_asked keeps the flow.
 // 2. All agents leave the membership. Ten seconds later the membership changes again, and FlowSearch::setAgents forgets
 //    them: m_order is empty.
 // 3. A caller sends one more packet of a flow that the balancer does not know.
